Rank requests by the customer's and the route's priority together

Cause: each customer of the grown booking site has a priority, nearly all the same one; it replaced the route's, so that drafts and suggestions ranked alike and the queues let the first miss their target for the second. Change: the two priorities are added (UrgencyRank).

--- a/core/gateway/route_table.cpp
+++ b/core/gateway/route_table.cpp
@@ -62,6 +62,13 @@
   return found == configuration_->services.end() ? nullptr : &found->second;
 }
 
+std::uint32_t UrgencyRank(const RouteSpec& aRoute,
+                          const CustomerSpec* aCustomer)
+{
+  // With one priority for nearly all customers, it alone would tell nothing.
+  return aRoute.priority + (aCustomer ? aCustomer->priority.value_or(0) : 0);
+}
+
 const RouteTarget* ChooseTarget(const RouteSpec& aRoute, std::uint64_t aHash)
 {
   const double sum =
--- a/core/gateway/route_table.h
+++ b/core/gateway/route_table.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/served_configuration.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -41,6 +42,15 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
+/**
+ * How urgent a request is: zero is first.
+ *
+ * A customer's priority shifts all of its requests; among them the routes'
+ * priorities still tell the urgent from the rest.
+ */
+std::uint32_t UrgencyRank(const RouteSpec& aRoute,
+                          const CustomerSpec* aCustomer);
+
 /** The target that a request with this hash goes to, by weight. */
 const RouteTarget* ChooseTarget(const RouteSpec& aRoute, std::uint64_t aHash);
 
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -38,7 +38,7 @@
                                            PieceJob aJob,
                                            RequestLife& aLife);
   /** Priorities that are told apart; the last stands for all above it. */
-  static constexpr std::uint32_t kPriorities = 4;
+  static constexpr std::uint32_t kPriorities = 6;
 
   Duration ExpectedWait(std::string_view aService,
                         std::uint32_t aPriority) const;
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -170,10 +170,7 @@
     aAttempt.firstPartBy =
       std::min(aAttempt.endAt, aAttempt.arrivedAt + patience - kClientMargin);
   }
-  aAttempt.priority = route.priority;
-  if (aAttempt.customer && aAttempt.customer->priority) {
-    aAttempt.priority = *aAttempt.customer->priority;
-  }
+  aAttempt.priority = UrgencyRank(route, aAttempt.customer);
   aAttempt.plan = StagePlan(route.stages, aAttempt.said.pieces);
   if (aAttempt.service->engine && aAttempt.plan.HasWork()) {
     ChoiceNeed need;
