Hear a peer by any of its messages

Cause: on the grown booking site a gateway tells its news to 8 of 21 peers a round, so that an owner of a queue was unheard for 2.9 s often enough (175 peer-back lines, 99 jobs taken over, all accepted before): several gateways then queued for the same stage servers and refused each other. Ruled out: refused jobs (each was accepted), overload of the owner (0.09 cores). Change: every message of a peer counts as hearing it.

--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -233,6 +233,13 @@
     state_.metrics.Count("peer_messages_dropped", "", "");
     return;
   }
+  // Whoever answers jobs lives, also when its news go to others this round.
+  const auto sender = std::ranges::find_if(peers_, [&](const auto& aItem) {
+    return aItem.second.id.incarnation == header.sender.incarnation;
+  });
+  if (sender != peers_.end()) {
+    sender->second.heardAt = Now().steady;
+  }
   if (auto* const news = std::get_if<GatewayNews>(&aMessage.body)) {
     OnNews(header, std::move(*news));
     return;
