Order stage jobs by urgency, late ones after all that can be in time

Cause: jobs went by due time plus 0.8 s a rank, and due times left out full calls and the reading of the prompt: in bursts all were made just too late. Change: ScheduleJobs, pure, orders by rank and due time; a job that misses its due time behind those before it steps back. Due times count full calls and the expected first event of the chosen replica. Lines of calls tell what was left.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/** How much later a less urgent request counts as due, for each rank. */
-constexpr Duration kRankDelay = std::chrono::milliseconds(800);
 /** What it is worth to make a megabyte where it is read: its price. */
 constexpr Duration kMegabyteElsewhere = std::chrono::milliseconds(20);
 /** A call is given up after this many times its expected time, and a bit. */
@@ -79,14 +77,13 @@
   return found == jobs_.end() ? nullptr : &found->second.job;
 }
 
-void BatchQueue::Add(PieceJob aJob, Instant aNow)
+void BatchQueue::Add(PieceJob aJob)
 {
   if (jobs_.contains(aJob.id)) {
     return;
   }
   const PieceJobId id = aJob.id;
   JobState state;
-  state.addedAt = aNow;
   state.handles.resize(aJob.pieces);
   state.waiting.resize(aJob.pieces);
   std::iota(state.waiting.rbegin(), state.waiting.rend(), 0U);
@@ -188,21 +185,54 @@
   }
 }
 
-std::vector<BatchQueue::JobState*> BatchQueue::OrderedJobs(Instant aNow)
+StageCapacity BatchQueue::CapacityOf(std::span<const Option> aOptions) const
 {
-  std::vector<JobState*> ordered;
+  StageCapacity capacity;
+  const auto replicas = static_cast<double>(aOptions.size());
+  const double callMs = std::chrono::duration<double, std::milli>(
+                          TimeOf(spec_.mostPieces))
+                          .count();
+  capacity.piecesPerMs = replicas * spec_.mostPieces / callMs;
+  if (spec_.resultBytes > 0) {
+    capacity.bytesPerMs =
+      replicas * static_cast<double>(spec_.resultBytes) / (holdMs_ + callMs);
+  }
+  for (const Option& option : aOptions) {
+    capacity.freeBytes += std::min(option.room, spec_.resultBytes);
+  }
+  return capacity;
+}
+
+std::vector<BatchQueue::JobState*> BatchQueue::OrderedJobs(
+  std::span<const Option> aOptions,
+  Instant aNow)
+{
+  std::vector<JobState*> states;
+  std::vector<ScheduledJob> jobs;
   for (auto& [id, state] : jobs_) {
-    if (!state.waiting.empty()) {
-      ordered.push_back(&state);
+    if (state.waiting.empty()) {
+      continue;
     }
+    const auto pieces = static_cast<std::uint32_t>(state.waiting.size());
+    states.push_back(&state);
+    jobs.push_back({ state.job.priority,
+                     state.job.due,
+                     TimeOf(std::min(pieces, spec_.mostPieces)),
+                     pieces,
+                     IsLarge(state) ? state.job.resultBytes * pieces : 0 });
+  }
+  const StageSchedule schedule =
+    ScheduleJobs(jobs, CapacityOf(aOptions), aNow);
+  std::vector<JobState*> ordered;
+  for (std::size_t place = 0; place < schedule.order.size(); ++place) {
+    JobState* const state = states[schedule.order[place]];
+    const Instant start = aNow + schedule.startsIn[place];
+    if (!aOptions.empty() && start + TimeOf(1) > state->job.latest) {
+      Finish(*state, PieceFailure::Late);
+      continue;
+    }
+    ordered.push_back(state);
   }
-  const auto rank = [&](const JobState* aState) {
-    const PieceJob& job = aState->job;
-    const bool misses = job.due < aNow + TimeOf(aState->waiting.size());
-    return std::make_pair(
-      misses, job.due + kRankDelay * static_cast<std::int64_t>(job.priority));
-  };
-  std::ranges::stable_sort(ordered, {}, rank);
   return ordered;
 }
 
@@ -335,6 +365,9 @@
   }
   ReplicaState& replica = replicas_[batch.backend->id];
   replica.usedBytes += bytes;
+  batch.left = WaitingPieces();
+  batch.roomLeft = RoomOf(replica);
+  batch.hold = HoldTime();
   batch.expected =
     Scaled(TimeOf(batch.items.size()), SlownessOf(replica, aNow));
   batch.abandonAt = aNow + Scaled(batch.expected, kPatience) + kPatienceExtra;
@@ -344,54 +377,17 @@
   return batch;
 }
 
-std::vector<BatchQueue::JobState*> BatchQueue::WithoutHopeless(
-  std::vector<JobState*> aOrdered,
-  std::size_t aReplicas,
-  Instant aNow)
-{
-  if (aReplicas == 0 || spec_.mostPieces == 0) {
-    return aOrdered;
-  }
-  const auto replicas = static_cast<double>(aReplicas);
-  const Duration perPiece =
-    Scaled(TimeOf(spec_.mostPieces), 1.0 / (replicas * spec_.mostPieces));
-  const double perByteUs =
-    spec_.resultBytes == 0
-      ? 0.0
-      : static_cast<double>((HoldTime() + TimeOf(spec_.mostPieces)).count()) /
-          (replicas * static_cast<double>(spec_.resultBytes));
-  Duration calls{};
-  double roomUs = 0.0;
-  std::vector<JobState*> left;
-  for (JobState* const state : aOrdered) {
-    const Instant start =
-      aNow + std::max(calls, Duration(static_cast<std::int64_t>(roomUs)));
-    if (start + TimeOf(1) > state->job.latest) {
-      Finish(*state, PieceFailure::Late);
-      continue;
-    }
-    calls += perPiece * static_cast<std::int64_t>(state->waiting.size());
-    if (IsLarge(*state)) {
-      roomUs += perByteUs * static_cast<double>(state->job.resultBytes *
-                                                state->waiting.size());
-    }
-    left.push_back(state);
-  }
-  return left;
-}
-
 std::optional<Batch> BatchQueue::Next(std::span<const BackendPtr> aReplicas,
                                       Instant aNow)
 {
   wakeAt_.reset();
   ExpireResults(aNow);
   DropHopeless(aNow);
-  const std::vector<JobState*> ordered =
-    WithoutHopeless(OrderedJobs(aNow), aReplicas.size(), aNow);
+  const std::vector<Option> options = Options(aReplicas, aNow);
+  const std::vector<JobState*> ordered = OrderedJobs(options, aNow);
   if (ordered.empty()) {
     return std::nullopt;
   }
-  const std::vector<Option> options = Options(aReplicas, aNow);
   freeRoom_ = 0;
   for (const Option& option : options) {
     freeRoom_ += option.isFree ? std::min(option.room, spec_.resultBytes) : 0;
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/backend_registry.h"
 #include "core/gateway/served_configuration.h"
+#include "core/gateway/stage_schedule.h"
 
 #include <compare>
 #include <cstdint>
@@ -74,6 +75,9 @@
   std::vector<BatchItem> items;
   Duration expected{};
   Instant abandonAt{}; ///< Its pieces are made elsewhere after that.
+  std::size_t left = 0;        ///< Pieces that still wait for a call.
+  std::uint64_t roomLeft = 0;  ///< At the replica, for further results.
+  Duration hold{};             ///< Usual time until results are given up.
 };
 
 /** What a backend server said of one item. */
@@ -97,9 +101,7 @@
  * Answers the load of stages whose calls have a high fixed cost.
  *
  * One queue for all replicas of a stage service: a call carries pieces of
- * several requests, earliest due time first, with urgent requests before
- * others; jobs that cannot make their target any more come after those that
- * can. A replica gets a call when that finishes sooner than waiting for a
+ * several requests in the order of `ScheduleJobs`. A replica gets a call when that finishes sooner than waiting for a
  * faster one. A replica has room for few large results: pieces wait for the
  * results before them to be given up rather than fail at the end of a call.
  * Pure: time comes in, calls and ends go out.
@@ -110,7 +112,7 @@
   explicit BatchQueue(BatchSpec aSpec);
 
   void SetSpec(BatchSpec aSpec) { spec_ = aSpec; }
-  void Add(PieceJob aJob, Instant aNow);
+  void Add(PieceJob aJob);
   void Cancel(PieceJobId aId);
 
   /** The next call to make now, if any. */
@@ -141,7 +143,6 @@
   struct JobState
   {
     PieceJob job;
-    Instant addedAt{};
     std::vector<std::string> handles;
     std::vector<std::uint32_t> waiting; ///< Pieces not in a call.
     std::uint32_t missing = 0;
@@ -174,7 +175,6 @@
   Duration TimeOf(std::size_t aPieces) const;
   double SlownessOf(const ReplicaState& aReplica, Instant aNow) const;
   void DropHopeless(Instant aNow);
-  std::vector<JobState*> OrderedJobs(Instant aNow);
   /** A replica that a job could go to, and when that would be done. */
   struct Option
   {
@@ -185,16 +185,16 @@
   };
   std::vector<Option> Options(std::span<const BackendPtr> aReplicas,
                               Instant aNow);
+  StageCapacity CapacityOf(std::span<const Option> aOptions) const;
+  /** Ends the jobs that the work before them leaves no time for. */
+  std::vector<JobState*> OrderedJobs(std::span<const Option> aOptions,
+                                     Instant aNow);
   const Option* BestFor(const JobState& aState,
                         std::span<const Option> aOptions,
                         Instant aNow) const;
   /** Whether a job may take room of a replica now. */
   bool Fits(const JobState& aState, std::uint64_t aRoom) const;
   bool IsLarge(const JobState& aState) const;
-  /** Ends the jobs that the work before them leaves no time for. */
-  std::vector<JobState*> WithoutHopeless(std::vector<JobState*> aOrdered,
-                                         std::size_t aReplicas,
-                                         Instant aNow);
   Duration HoldTime() const;
   /** Time that the large results waiting ahead keep one replica's room. */
   Duration RoomWork(std::uint32_t aPriority) const;
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -27,6 +27,7 @@
   Instant firstPartBy{}; ///< A client that has nothing by then leaves.
   Instant endAt{};       ///< The final answer leaves by then.
   std::string homeZone;  ///< Where the request will likely run.
+  Duration firstEvent{}; ///< Expected from the model replica, once sent.
   std::uint32_t priority = 0;
   StagePlan plan{ {}, {} };
   RequestLife life;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -181,7 +181,7 @@
   }
   const Instant now = Now().steady;
   state_.repeats.OnRequest(aService, now);
-  queue->queue.Add(std::move(aJob), now);
+  queue->queue.Add(std::move(aJob));
   Pump(aService);
 }
 
@@ -295,6 +295,9 @@
                      { "pieces", aBatch.items.size() },
                      { "expected", aBatch.expected },
                      { "took", now - begin },
+                     { "left", aBatch.left },
+                     { "room-left", aBatch.roomLeft },
+                     { "hold", aBatch.hold },
                      { "end", static_cast<std::uint64_t>(end) } });
   Queue* const queue = QueueOf(aService);
   // Repeated pieces draw on the fleet's budget, job by job.
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -32,6 +32,8 @@
 constexpr Duration kStartMargin = std::chrono::milliseconds(120);
 /** Usual time from the last stage to the first event. */
 constexpr Duration kUsualFirstEvent = std::chrono::milliseconds(120);
+/** From the last stage to the model replica, and from it to the client. */
+constexpr Duration kLastSteps = std::chrono::milliseconds(60);
 /** A wait that a stage usually meets though its queue is short. */
 constexpr Duration kUsualWait = std::chrono::milliseconds(60);
 /** After SIGTERM new work is taken for this long: a balancer needs two
@@ -183,10 +185,24 @@
                     state_.loads,
                     aAttempt.arrivedAt);
     aAttempt.homeZone = choice ? choice->backend->zone : "";
+    aAttempt.firstEvent = choice ? choice->expected : Duration{};
   }
   return std::nullopt;
 }
 
+StageTime RequestHandler::UsualTimeOf(const Attempt& aAttempt,
+                                      std::uint32_t aStage) const
+{
+  const std::string& service = aAttempt.plan.SpecOf(aStage).service;
+  const BackendServiceSpec* const spec = aAttempt.table->FindService(service);
+  if (!spec || !spec->batches) {
+    return {};
+  }
+  const BatchSpec& batches = *spec->batches;
+  return { batches.callTime + batches.pieceTime * batches.mostPieces,
+           kUsualWait };
+}
+
 StageTime RequestHandler::TimeOf(const Attempt& aAttempt,
                                  std::uint32_t aStage,
                                  bool aWithWait) const
@@ -234,11 +250,9 @@
     job.preferredZone = aAttempt.homeZone;
   }
   job.priority = aAttempt.priority;
-  job.due = aAttempt.targetAt - kUsualFirstEvent -
+  job.due = aAttempt.targetAt - kLastSteps - aAttempt.firstEvent -
             plan.RestAfter(aStage, [&](std::uint32_t aOther) {
-              StageTime time = TimeOf(aAttempt, aOther, false);
-              time.wait = kUsualWait;
-              return time;
+              return UsualTimeOf(aAttempt, aOther);
             });
   job.latest = aAttempt.firstPartBy - kUsualFirstEvent -
                plan.RestAfter(aStage, [&](std::uint32_t aOther) {
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -33,6 +33,8 @@
   StageTime TimeOf(const Attempt& aAttempt,
                    std::uint32_t aStage,
                    bool aWithWait) const;
+  /** Of a call that pieces of other requests fill, as under load. */
+  StageTime UsualTimeOf(const Attempt& aAttempt, std::uint32_t aStage) const;
   PieceJob JobFor(const Attempt& aAttempt, std::uint32_t aStage) const;
 
   GatewayState& state_;
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -120,7 +120,7 @@
   void Add(PieceJob aJob)
   {
     addedAt[aJob.id.number] = now;
-    queue.Add(std::move(aJob), now);
+    queue.Add(std::move(aJob));
   }
 
   std::map<std::uint64_t, Instant> addedAt;
@@ -137,7 +137,7 @@
                   "[BatchQueue] idle replicas share the jobs that wait")
 {
   for (std::uint64_t number = 1; number <= 3; ++number) {
-    queue.Add(Job(number, 2), now);
+    queue.Add(Job(number, 2));
   }
   const auto batches = TakeAll();
   REQUIRE(batches.size() == 3);
@@ -149,11 +149,11 @@
 TEST_CASE_FIXTURE(QueueFixture, "[BatchQueue] jobs that waited share one call")
 {
   for (std::uint64_t number = 1; number <= 3; ++number) {
-    queue.Add(Job(number, 1), now);
+    queue.Add(Job(number, 1));
   }
   auto first = TakeAll();
   for (std::uint64_t number = 4; number <= 9; ++number) {
-    queue.Add(Job(number, 1), now);
+    queue.Add(Job(number, 1));
   }
   CHECK(TakeAll().empty());
   now += milliseconds(166);
@@ -166,7 +166,7 @@
 TEST_CASE_FIXTURE(QueueFixture,
                   "[BatchQueue] a job ends once, with its handles by piece")
 {
-  queue.Add(Job(1, 3), now);
+  queue.Add(Job(1, 3));
   for (const Batch& batch : TakeAll()) {
     now += milliseconds(200);
     queue.OnEnd(batch, BatchEnd::Answered, Good(batch), now);
@@ -193,9 +193,9 @@
   PieceJob urgent = Job(3, 8);
   urgent.due = now + milliseconds(1'000);
   late.priority = early.priority = 1;
-  queue.Add(late, now);
-  queue.Add(early, now);
-  queue.Add(urgent, now);
+  queue.Add(late);
+  queue.Add(early);
+  queue.Add(urgent);
   std::vector<std::uint64_t> order;
   for (int call = 0; call < 3; ++call) {
     auto batch = queue.Next(replicas, now);
@@ -214,8 +214,8 @@
   replicas.resize(1);
   PieceJob missed = Job(1, 8);
   missed.due = now + milliseconds(50);
-  queue.Add(missed, now);
-  queue.Add(Job(2, 8), now);
+  queue.Add(missed);
+  queue.Add(Job(2, 8));
   CHECK(queue.Next(replicas, now)->items.front().job.number == 2);
 }
 
@@ -224,7 +224,7 @@
 {
   PieceJob job = Job(1, 1);
   job.latest = now + milliseconds(100);
-  queue.Add(job, now);
+  queue.Add(job);
   CHECK(TakeAll().empty());
   const auto ended = queue.TakeEnded();
   REQUIRE(ended.size() == 1);
@@ -235,7 +235,7 @@
   QueueFixture,
   "[BatchQueue] pieces of a failed call are made elsewhere, the replica rests")
 {
-  queue.Add(Job(1, 2), now);
+  queue.Add(Job(1, 2));
   auto batch = queue.Next(replicas, now);
   REQUIRE(batch);
   const std::string failed = batch->backend->id;
@@ -256,7 +256,7 @@
 TEST_CASE_FIXTURE(QueueFixture,
                   "[BatchQueue] a job whose input is gone ends with that word")
 {
-  queue.Add(Job(1, 1), now);
+  queue.Add(Job(1, 1));
   auto batch = queue.Next(replicas, now);
   const std::vector<BatchItemResult> gone{
     { "", PieceFailure::GoneInput, false }
@@ -271,7 +271,7 @@
   QueueFixture,
   "[BatchQueue] results of jobs that ended are orphans, each told once")
 {
-  queue.Add(Job(1, 2), now);
+  queue.Add(Job(1, 2));
   auto batch = queue.Next(replicas, now);
   queue.Cancel({ 1, 1 });
   queue.OnEnd(*batch, BatchEnd::Answered, Good(*batch), now);
@@ -292,15 +292,15 @@
   PieceJob small = Job(3, 1);
   small.resultBytes = 8'000;
   small.priority = 2;
-  queue.Add(large, now);
+  queue.Add(large);
   auto first = queue.Next(replicas, now);
   REQUIRE(first);
   queue.OnEnd(*first, BatchEnd::Answered, Good(*first), now);
   auto ended = queue.TakeEnded();
   REQUIRE(ended.size() == 1);
   // 24 of 36 MB are taken: six more pieces do not fit.
-  queue.Add(second, now);
-  queue.Add(small, now);
+  queue.Add(second);
+  queue.Add(small);
   auto next = queue.Next(replicas, now);
   REQUIRE(next);
   CHECK(next->items.front().job.number == 3);
@@ -318,7 +318,7 @@
     now += seconds(5);
     second.due = now + seconds(1);
     second.latest = now + seconds(2);
-    queue.Add(second, now);
+    queue.Add(second);
     queue.Cancel({ 1, 2 });
     CHECK(queue.Next(replicas, now)->items.size() == 6);
   }
@@ -331,7 +331,7 @@
   PieceJob job = Job(1, 3);
   job.resultBytes = 3'000'000;
   job.preferredZone = "c";
-  queue.Add(job, now);
+  queue.Add(job);
   CHECK(queue.Next(replicas, now)->backend->zone == "c");
 }
 
@@ -342,18 +342,18 @@
   replicas.resize(2);
   // The first is measured five times slower than stated.
   for (std::uint64_t call = 100; call < 104; ++call) {
-    queue.Add(Job(call, 1), now);
+    queue.Add(Job(call, 1));
     auto batch = queue.Next(std::span(replicas).first(1), now);
     REQUIRE(batch);
     now += milliseconds(830);
     queue.OnEnd(*batch, BatchEnd::Answered, Good(*batch), now);
   }
   queue.TakeEnded();
-  queue.Add(Job(1, 1), now);
+  queue.Add(Job(1, 1));
   auto fast = queue.Next(replicas, now);
   REQUIRE(fast);
   CHECK(fast->backend->id == "r1");
-  queue.Add(Job(2, 1), now);
+  queue.Add(Job(2, 1));
   CHECK_FALSE(queue.Next(replicas, now));
   now += milliseconds(166);
   queue.OnEnd(*fast, BatchEnd::Answered, Good(*fast), now);
