Make stage results in the zone of most bytes moved, measure their hold

Cause: each piece fetches all inputs of its stage, so that a request of three stages moved 5 to 8 MB between its last two; zones were chosen for final results only. The time that results are kept was measured for results over 2% of a replica's room only, of which the later stages have none: 600 ms was assumed. Change: a job names its best zone and the bytes that cross otherwise; results over 0.1% of the room count in the measurement.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -35,6 +35,9 @@
 /** A job that takes more than this part of a replica's room waits in line for
  * it; smaller ones pass. */
 constexpr std::uint64_t kLargeDivisor = 50;
+/** Results of less than this part of the room say nothing of how long room is
+ * taken: nothing waits for theirs. */
+constexpr std::uint64_t kCountedDivisor = 1'000;
 /** Part of the stated memory that is planned with; sizes are estimates. */
 constexpr double kRoomShare = 0.95;
 
@@ -122,7 +125,7 @@
     }
     std::uint64_t& used = replicas_[result->second.replica].usedBytes;
     used -= std::min(used, result->second.bytes);
-    if (result->second.bytes > spec_.resultBytes / kLargeDivisor) {
+    if (result->second.bytes > spec_.resultBytes / kCountedDivisor) {
       const double held =
         std::chrono::duration<double, std::milli>(aNow - result->second.madeAt)
           .count();
@@ -335,8 +338,7 @@
   const auto cost = [&](const Option& aOption) {
     const bool isElsewhere =
       !job.preferredZone.empty() && aOption.backend->zone != job.preferredZone;
-    const double megabytes = static_cast<double>(job.resultBytes) *
-                             static_cast<double>(aState.waiting.size()) / 1e6;
+    const double megabytes = static_cast<double>(job.zoneBytes) / 1e6;
     return aOption.finish + (isElsewhere && hasTime
                                ? Scaled(kMegabyteElsewhere, megabytes)
                                : Duration{});
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -37,7 +37,8 @@
   std::string key;                 ///< For stages that read no results.
   std::vector<std::string> inputs; ///< Handles of results, otherwise.
   std::uint64_t resultBytes = 0;   ///< About; of one piece.
-  std::string preferredZone;       ///< Where the results are read, if known.
+  std::string preferredZone; ///< Where most of its bytes lie or are read.
+  std::uint64_t zoneBytes = 0; ///< That cross zones if it is made elsewhere.
   std::uint32_t priority = 0;
   Instant due{};    ///< Finished by then, the request makes its target.
   Instant latest{}; ///< Of no use after that.
--- a/core/gateway/stage_plan.cpp
+++ b/core/gateway/stage_plan.cpp
@@ -143,6 +143,24 @@
   return largest;
 }
 
+StagePlan::LargestInput StagePlan::LargestInputOf(std::uint32_t aStage) const
+{
+  LargestInput largest;
+  for (const std::uint32_t before : stages_[aStage].spec.after) {
+    const Stage& stage = stages_[before];
+    const std::uint64_t bytes = stage.spec.resultBytes * stage.pieces;
+    if (!stage.handles.empty() && bytes > largest.bytes) {
+      largest = { stage.handles.front(), bytes };
+    }
+  }
+  return largest;
+}
+
+bool StagePlan::IsFinal(std::uint32_t aStage) const
+{
+  return stages_[aStage].readers.empty();
+}
+
 Duration StagePlan::LongestFrom(std::uint32_t aStage,
                                 const TimeOf& aTimeOf) const
 {
--- a/core/gateway/stage_plan.h
+++ b/core/gateway/stage_plan.h
@@ -60,6 +60,10 @@
     std::uint64_t bytes = 0;
   };
   LargestInput LargestFinalInput() const;
+  /** The same of what one piece of a stage reads. */
+  LargestInput LargestInputOf(std::uint32_t aStage) const;
+  /** Whether the request itself reads the results of a stage. */
+  bool IsFinal(std::uint32_t aStage) const;
 
   using TimeOf = std::function<StageTime(std::uint32_t)>;
   /** Longest way from the start of a stage's successors to the end. */
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -186,6 +186,7 @@
   to.set_latest_in_us(aFrom.latestIn.count());
   to.set_result_bytes(aFrom.job.resultBytes);
   to.set_preferred_zone(aFrom.job.preferredZone);
+  to.set_zone_bytes(aFrom.job.zoneBytes);
 }
 
 void FillBody(proto::Envelope& aTo, const PieceAccepted& aFrom)
@@ -468,6 +469,7 @@
   request.latestIn = Duration(aFrom.latest_in_us());
   request.job.resultBytes = aFrom.result_bytes();
   request.job.preferredZone = aFrom.preferred_zone();
+  request.job.zoneBytes = aFrom.zone_bytes();
   return request;
 }
 
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "drivers/clock.h"
+#include "platform/piece_calls.h"
 #include "servers/gateway/send_loop.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -234,6 +235,28 @@
   return std::max(kLeastRetryAfter, needed - left);
 }
 
+RequestHandler::ZoneNeed RequestHandler::ZoneNeedOf(const Attempt& aAttempt,
+                                                    std::uint32_t aStage) const
+{
+  const StagePlan& plan = aAttempt.plan;
+  const auto input = plan.LargestInputOf(aStage);
+  // Each piece fetches all inputs of its stage.
+  const std::uint64_t inputBytes = input.bytes * plan.PiecesOf(aStage);
+  const std::uint64_t resultBytes =
+    plan.IsFinal(aStage)
+      ? plan.SpecOf(aStage).resultBytes * plan.PiecesOf(aStage)
+      : 0;
+  if (resultBytes > inputBytes) {
+    return { aAttempt.homeZone, resultBytes };
+  }
+  if (inputBytes == 0) {
+    return {};
+  }
+  const BackendPtr maker =
+    state_.registry.FindByAddress(MakerOf(input.handle));
+  return { maker ? maker->zone : "", inputBytes };
+}
+
 PieceJob RequestHandler::JobFor(const Attempt& aAttempt,
                                 std::uint32_t aStage) const
 {
@@ -246,9 +269,9 @@
   job.key = aAttempt.said.pieceKey;
   job.inputs = plan.InputsOf(aStage);
   job.resultBytes = plan.SpecOf(aStage).resultBytes;
-  if (job.resultBytes * job.pieces > kLargeResults) {
-    job.preferredZone = aAttempt.homeZone;
-  }
+  const ZoneNeed need = ZoneNeedOf(aAttempt, aStage);
+  job.preferredZone = need.zone;
+  job.zoneBytes = need.bytes;
   job.priority = aAttempt.priority;
   job.due = aAttempt.targetAt - kLastSteps - aAttempt.firstEvent -
             plan.RestAfter(aStage, [&](std::uint32_t aOther) {
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -35,6 +35,13 @@
                    bool aWithWait) const;
   /** Of a call that pieces of other requests fill, as under load. */
   StageTime UsualTimeOf(const Attempt& aAttempt, std::uint32_t aStage) const;
+  /** Where a stage is best made, and the bytes that cross zones elsewhere. */
+  struct ZoneNeed
+  {
+    std::string zone;
+    std::uint64_t bytes = 0;
+  };
+  ZoneNeed ZoneNeedOf(const Attempt& aAttempt, std::uint32_t aStage) const;
   PieceJob JobFor(const Attempt& aAttempt, std::uint32_t aStage) const;
 
   GatewayState& state_;
