Count late jobs behind those to come, and tell when queues are done

Cause: late jobs waited until their deadline for places that jobs in time kept taking, and were refused then with a Retry-After of no meaning; large results came 0.4 s after the chain that they wait for, since the expected waits of the chain counted as time to spare. Change: late jobs count on the share of places that jobs in time leave over, so that those without a chance are refused at once; Retry-After is the time of the queues of the stages left; large results start by the least time of the others.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -35,6 +35,8 @@
 /** A job that takes more than this part of a replica's room waits in line for
  * it; smaller ones pass. */
 constexpr std::uint64_t kLargeDivisor = 50;
+/** Weight of one call in the share of places; some tens of calls a second. */
+constexpr double kShareWeight = 0.05;
 /** Results of less than this part of the room say nothing of how long room is
  * taken: nothing waits for theirs. */
 constexpr std::uint64_t kCountedDivisor = 1'000;
@@ -191,6 +193,7 @@
 StageCapacity BatchQueue::CapacityOf(std::span<const Option> aOptions) const
 {
   StageCapacity capacity;
+  capacity.inTimeShare = inTimeShare_;
   const auto replicas = static_cast<double>(aOptions.size());
   const double callMs = std::chrono::duration<double, std::milli>(
                           TimeOf(spec_.mostPieces))
@@ -229,6 +232,7 @@
   std::vector<JobState*> ordered;
   for (std::size_t place = 0; place < schedule.order.size(); ++place) {
     JobState* const state = states[schedule.order[place]];
+    state->isInTime = place < schedule.inTime;
     const Instant start = aNow + schedule.startsIn[place];
     if (!aOptions.empty() && start + TimeOf(1) > state->job.latest) {
       Finish(*state, PieceFailure::Late);
@@ -362,9 +366,15 @@
   batch.backend = aOption.backend;
   batch.items = TakePieces(aJobs, aIdle, aOption.room, aOption.backend->zone);
   std::uint64_t bytes = 0;
+  std::size_t inTime = 0;
   for (const BatchItem& item : batch.items) {
-    bytes += StateOf(item.job)->job.resultBytes;
+    const JobState& state = *StateOf(item.job);
+    bytes += state.job.resultBytes;
+    inTime += state.isInTime ? 1 : 0;
   }
+  inTimeShare_ += kShareWeight * (static_cast<double>(inTime) /
+                                    std::max(1U, spec_.mostPieces) -
+                                  inTimeShare_);
   ReplicaState& replica = replicas_[batch.backend->id];
   replica.usedBytes += bytes;
   batch.left = WaitingPieces();
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -148,6 +148,7 @@
     std::vector<std::uint32_t> waiting; ///< Pieces not in a call.
     std::uint32_t missing = 0;
     std::uint32_t failures = 0;
+    bool isInTime = true; ///< By the last schedule.
   };
   struct ReplicaState
   {
@@ -229,6 +230,7 @@
   std::uint64_t lastNumber_ = 0;
   std::optional<Instant> wakeAt_;
   std::uint64_t freeRoom_ = 0; ///< Of the replicas that could take a call.
+  double inTimeShare_ = 0.0;   ///< Smoothed, of the places in calls.
   double holdMs_;              ///< Smoothed time that large results are kept.
 };
 
--- a/core/gateway/stage_schedule.cpp
+++ b/core/gateway/stage_schedule.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** A burst does not last: late jobs count on a tenth of the places. */
+constexpr double kMostInTimeShare = 0.9;
+
 /** Work of the jobs that go before another. */
 struct WorkAhead
 {
@@ -79,6 +82,12 @@
   }
   schedule.inTime = schedule.order.size();
   std::ranges::for_each(late, append);
+  const double left = 1.0 - std::min(aCapacity.inTimeShare, kMostInTimeShare);
+  for (Duration& start :
+       std::span(schedule.startsIn).subspan(schedule.inTime)) {
+    start = Duration(
+      static_cast<std::int64_t>(static_cast<double>(start.count()) / left));
+  }
   return schedule;
 }
 
--- a/core/gateway/stage_schedule.h
+++ b/core/gateway/stage_schedule.h
@@ -25,6 +25,8 @@
   double piecesPerMs = 0.0;    ///< In full calls.
   double bytesPerMs = 0.0;     ///< Of results, as fast as room becomes free.
   std::uint64_t freeBytes = 0; ///< Room for results that is free now.
+  /** Part of the places in calls that jobs in time have taken lately. */
+  double inTimeShare = 0.0;
 };
 
 /** The order in which jobs are made. */
@@ -40,7 +42,8 @@
  *
  * The more urgent go first, and among equals the earliest due. A job that
  * would miss its due time behind those before it steps back behind all that
- * can make theirs: its place is worth more to them.
+ * can make theirs: its place is worth more to them. Late jobs get what jobs in
+ * time leave over, also of those still to come, and start later accordingly.
  */
 StageSchedule ScheduleJobs(std::span<const ScheduledJob> aJobs,
                            const StageCapacity& aCapacity,
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -120,8 +120,9 @@
     const auto kind = co_await RunStages(attempt);
     if (kind) {
       aClient->StopWatching();
+      const Duration retryAfter = RetryAfter(attempt);
       pieces_.Free(attempt.plan.TakeAll());
-      co_await Refuse(attempt, *kind, Duration{});
+      co_await Refuse(attempt, *kind, retryAfter);
       co_return;
     }
   }
@@ -232,7 +233,18 @@
   if (needed < left || needed.count() == 0) {
     return std::nullopt;
   }
-  return std::max(kLeastRetryAfter, needed - left);
+  return RetryAfter(aAttempt);
+}
+
+Duration RequestHandler::RetryAfter(const Attempt& aAttempt) const
+{
+  // Whoever comes back before the queues are done is refused once more.
+  const auto remaining = [&](bool aWithWait) {
+    return aAttempt.plan.Remaining([&](std::uint32_t aStage) {
+      return TimeOf(aAttempt, aStage, aWithWait);
+    });
+  };
+  return std::max(kLeastRetryAfter, remaining(true) - remaining(false));
 }
 
 RequestHandler::ZoneNeed RequestHandler::ZoneNeedOf(const Attempt& aAttempt,
@@ -301,16 +313,20 @@
   };
   auto progress = std::make_shared<Progress>(state_.loop);
   std::optional<ErrorKind> failure;
-  const auto timeOf = [&](std::uint32_t aStage) {
-    return TimeOf(aAttempt, aStage, true);
-  };
   while (!aAttempt.plan.IsDone() && !failure) {
     Instant nextStart = aAttempt.endAt;
     for (const std::uint32_t stage : aAttempt.plan.Ready()) {
       const std::uint64_t bytes =
         aAttempt.plan.SpecOf(stage).resultBytes * aAttempt.plan.PiecesOf(stage);
+      // The wait of its own queue, and the least of the others: what it would
+      // be late, all other results would be kept.
       const Duration slack =
-        aAttempt.plan.SlackOf(stage, timeOf) - kStartMargin;
+        aAttempt.plan.SlackOf(stage,
+                              [&](std::uint32_t aOther) {
+                                return TimeOf(
+                                  aAttempt, aOther, aOther == stage);
+                              }) -
+        kStartMargin;
       if (bytes > kLargeResults && slack.count() > 0) {
         // Its results would only take room until the other stages are done.
         nextStart = std::min(nextStart, Now().steady + slack);
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -26,6 +26,8 @@
   std::optional<ErrorKind> Admit(Attempt& aAttempt);
   /** The wait that makes a refusal worth coming back after, if refused. */
   std::optional<Duration> RefuseHopeless(const Attempt& aAttempt) const;
+  /** When the queues of its stages are likely done. */
+  Duration RetryAfter(const Attempt& aAttempt) const;
   boost::asio::awaitable<std::optional<ErrorKind>> RunStages(Attempt& aAttempt);
   boost::asio::awaitable<void> Refuse(Attempt& aAttempt,
                                       ErrorKind aKind,
