Tell peers of long prompts at once

Cause: a prompt of 14,000 tokens was expected to be read in 265 ms and took 528 in the bursts: gateways learned of each other's prompts 250 to 650 ms later and sent theirs to the same model replicas. Change: a gateway tells at most 24 peers of each prompt of 2,000 tokens or more as it sends it; reports of peers age as the replica reads on. The reading rate is stated once, as measured beside other work (45 tokens a ms, before 55). In fleets of more than 24 gateways it covers a part only.

--- a/core/gateway/backend_loads.cpp
+++ b/core/gateway/backend_loads.cpp
@@ -119,6 +119,19 @@
   }
 }
 
+void BackendLoads::OnPeerSent(std::string_view aId,
+                              std::uint64_t aTokens,
+                              Instant aNow)
+{
+  auto found = peersReadBy_.find(aId);
+  if (found == peersReadBy_.end()) {
+    found = peersReadBy_.emplace(std::string(aId), aNow).first;
+  }
+  const double ms = static_cast<double>(aTokens) / kPromptTokensPerMs;
+  found->second = std::max(found->second, aNow) +
+                  Duration(static_cast<std::int64_t>(ms * 1'000.0));
+}
+
 void BackendLoads::ForgetPeer(std::string_view aPeer)
 {
   const auto found = peers_.find(aPeer);
@@ -139,6 +152,11 @@
     estimate.failures = Faded(own.failures, 0.0, own.failuresAt, aNow);
     estimate.isSuspect = aNow < own.suspectUntil || own.IsSilent(aNow);
   }
+  const auto tokensIn = [](Duration aTime) {
+    return std::chrono::duration<double, std::milli>(aTime).count() *
+           kPromptTokensPerMs;
+  };
+  double reported = 0.0;
   for (const auto& [name, report] : peers_) {
     if (aNow - report.at > kPeerReportLife) {
       continue;
@@ -147,9 +165,18 @@
     if (load != report.loads.end()) {
       estimate.isSuspect = estimate.isSuspect || load->second.isSilent;
       estimate.running += load->second.running;
-      estimate.unreadTokens += static_cast<double>(load->second.unreadTokens);
+      // The replica has read on since the report.
+      reported += std::max(0.0,
+                           static_cast<double>(load->second.unreadTokens) -
+                             tokensIn(aNow - report.at));
     }
   }
+  const auto readBy = peersReadBy_.find(aId);
+  const double told = readBy == peersReadBy_.end() || readBy->second <= aNow
+                        ? 0.0
+                        : tokensIn(readBy->second - aNow);
+  // Both speak of the same prompts; either may be lost.
+  estimate.unreadTokens += std::max(reported, told);
   return estimate;
 }
 
@@ -171,6 +198,9 @@
     return aItem.second.running == 0 &&
            std::ranges::find(aIds, aItem.first) == aIds.end();
   });
+  std::erase_if(peersReadBy_, [&](const auto& aItem) {
+    return std::ranges::find(aIds, aItem.first) == aIds.end();
+  });
 }
 
 } // namespace gypsum
--- a/core/gateway/backend_loads.h
+++ b/core/gateway/backend_loads.h
@@ -50,6 +50,8 @@
 public:
   /** A report of a peer older than this counts for nothing. */
   static constexpr Duration kPeerReportLife = std::chrono::milliseconds(1'500);
+  /** Prompt tokens that a model replica reads in a ms beside other work. */
+  static constexpr double kPromptTokensPerMs = 45.0;
   /** First pause after a failed connection; doubles up to the longest. */
   static constexpr Duration kFirstPause = std::chrono::milliseconds(300);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(2'000);
@@ -80,6 +82,8 @@
   void OnPeerReport(std::string_view aPeer,
                     std::vector<BackendLoad> aLoads,
                     Instant aNow);
+  /** A peer has sent a prompt with so many tokens that are to be read. */
+  void OnPeerSent(std::string_view aId, std::uint64_t aTokens, Instant aNow);
   void ForgetPeer(std::string_view aPeer);
 
   LoadEstimate Estimate(std::string_view aId, Instant aNow) const;
@@ -114,6 +118,8 @@
 
   std::map<std::string, Own, std::less<>> own_;
   std::map<std::string, PeerReport, std::less<>> peers_;
+  /** When servers have read what peers have sent them, by the stated rate. */
+  std::map<std::string, Instant, std::less<>> peersReadBy_;
 };
 
 } // namespace gypsum
--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -35,6 +35,13 @@
   std::vector<PrefixRead> reads;  ///< That it asked for lately.
 };
 
+/** A long prompt went to a model replica just now; news would come late. */
+struct PromptSent
+{
+  std::string backend;
+  std::uint64_t tokens = 0; ///< That the replica has to read.
+};
+
 /** Asks a peer for its registry of backend servers. */
 struct RegistryRequest
 {};
--- a/core/gateway/replica_choice.cpp
+++ b/core/gateway/replica_choice.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-/** Until measured: prompt tokens that a model replica reads in a ms. */
-constexpr double kTokensPerMs = 55.0;
+constexpr double kTokensPerMs = BackendLoads::kPromptTokensPerMs;
 /** First step of a model replica, from its sheets. */
 constexpr double kFirstStepMs = 8.0;
 /** What each running request adds to the time of others, about one step. */
--- a/core/messages.h
+++ b/core/messages.h
@@ -162,7 +162,8 @@
                               PieceAccepted,
                               PieceReply,
                               PieceCancel,
-                              PieceFree>;
+                              PieceFree,
+                              PromptSent>;
 
 /** One message between two processes. */
 struct PeerMessage
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -209,6 +209,13 @@
   to.mutable_handles()->Add(aFrom.handles.begin(), aFrom.handles.end());
 }
 
+void FillBody(proto::Envelope& aTo, const PromptSent& aFrom)
+{
+  proto::PromptSent& to = *aTo.mutable_prompt_sent();
+  to.set_backend(aFrom.backend);
+  to.set_tokens(aFrom.tokens);
+}
+
 void FillBody(proto::Envelope& aTo, const PieceCancel& aFrom)
 {
   proto::PieceCancel& to = *aTo.mutable_piece_cancel();
@@ -524,6 +531,9 @@
     case proto::Envelope::kPieceFree:
       return PieceFree{ aFrom.piece_free().service(),
                         Texts(aFrom.piece_free().handles()) };
+    case proto::Envelope::kPromptSent:
+      return PromptSent{ aFrom.prompt_sent().backend(),
+                         aFrom.prompt_sent().tokens() };
     case proto::Envelope::BODY_NOT_SET:
       break;
   }
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -54,7 +54,7 @@
   , peers_(state_, beliefs_)
   , pieces_(state_, peers_)
   , store_(state_, beliefs_, [this] { return peers_.IsReader(); })
-  , requests_(state_, pieces_)
+  , requests_(state_, peers_, pieces_)
   , reload_(std::move(aReload))
   , clients_(loop_,
              aSettings.clientAddress,
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -101,11 +101,11 @@
     }
   }
   // A bounded part of a large fleet is enough to find the rest.
-  constexpr std::size_t kMostTold = 16;
-  if (news.peers.size() > kMostTold) {
+  constexpr std::size_t kMostNamed = 16;
+  if (news.peers.size() > kMostNamed) {
     std::minstd_rand source = random_;
     std::ranges::shuffle(news.peers, source);
-    news.peers.resize(kMostTold);
+    news.peers.resize(kMostNamed);
   }
   news.loads = state_.loads.OwnLoads(now);
   news.reads = state_.prefixes.RecentReads(now);
@@ -164,6 +164,24 @@
   return live;
 }
 
+void PeerExchange::TellPromptSent(const PromptSent& aPrompt)
+{
+  const Instant now = Now().steady;
+  std::vector<std::string> targets;
+  for (const auto& [address, peer] : peers_) {
+    if (IsLive(peer, now)) {
+      targets.push_back(address);
+    }
+  }
+  if (targets.size() > kMostTold) {
+    std::ranges::shuffle(targets, random_);
+    targets.resize(kMostTold);
+  }
+  for (const std::string& target : targets) {
+    SendTo(target, aPrompt);
+  }
+}
+
 void PeerExchange::TellNow()
 {
   const GatewayNews news = OwnNews();
@@ -244,6 +262,10 @@
     OnNews(header, std::move(*news));
     return;
   }
+  if (const auto* const prompt = std::get_if<PromptSent>(&aMessage.body)) {
+    state_.loads.OnPeerSent(prompt->backend, prompt->tokens, Now().steady);
+    return;
+  }
   if (std::holds_alternative<ManifestRequest>(aMessage.body)) {
     SendBack(aRoute,
              header.sender.incarnation,
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -31,6 +31,8 @@
   static constexpr Duration kRound = std::chrono::milliseconds(250);
   /** Peers told in one round; owners of queues come on top. */
   static constexpr std::size_t kFanOut = 8;
+  /** Peers told of one long prompt; in a larger fleet some others. */
+  static constexpr std::size_t kMostTold = 24;
   /** Gateways that read the store when there are many. */
   static constexpr std::size_t kReaders = 8;
 
@@ -59,6 +61,8 @@
 
   void SendTo(const std::string& aAddress, PeerBody aBody);
   void SendBack(const Route& aRoute, Incarnation aTarget, PeerBody aBody);
+  /** Tells peers of a long prompt, so that theirs go elsewhere. */
+  void TellPromptSent(const PromptSent& aPrompt);
   /** Tells peers at once, as before a stop. */
   void TellNow();
 
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -62,8 +62,11 @@
 
 } // namespace
 
-RequestHandler::RequestHandler(GatewayState& aState, PieceService& aPieces)
+RequestHandler::RequestHandler(GatewayState& aState,
+                               PeerExchange& aPeers,
+                               PieceService& aPieces)
   : state_(aState)
+  , peers_(aPeers)
   , pieces_(aPieces)
 {
 }
@@ -126,7 +129,7 @@
       co_return;
     }
   }
-  SendLoop sends(state_, pieces_, attempt);
+  SendLoop sends(state_, peers_, pieces_, attempt);
   co_await sends.Run();
   aClient->StopWatching();
   pieces_.Free(attempt.plan.TakeAll());
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -2,6 +2,7 @@
 
 #include "servers/gateway/attempt.h"
 #include "servers/gateway/gateway_state.h"
+#include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,7 +16,9 @@
 class RequestHandler
 {
 public:
-  RequestHandler(GatewayState& aState, PieceService& aPieces);
+  RequestHandler(GatewayState& aState,
+                 PeerExchange& aPeers,
+                 PieceService& aPieces);
 
   /** One connection of a client, until it ends. */
   boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
@@ -47,6 +50,7 @@
   PieceJob JobFor(const Attempt& aAttempt, std::uint32_t aStage) const;
 
   GatewayState& state_;
+  PeerExchange& peers_;
   PieceService& pieces_;
 };
 
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kBusyWait = std::chrono::milliseconds(250);
 constexpr unsigned kFirstFailure = 400;
 constexpr unsigned kFirstServerFailure = 500;
+/** Prompt tokens that hold up others by more than a hop between gateways,
+ * about 40 ms; peers are told of these at once. */
+constexpr std::uint64_t kLongPrompt = 2'000;
 /** Ranks 0 to 9 are open to the system; its own priorities begin here. */
 constexpr unsigned kFirstUrgency = 2;
 constexpr unsigned kLastUrgency = 9;
@@ -47,9 +50,11 @@
 } // namespace
 
 SendLoop::SendLoop(GatewayState& aState,
+                   PeerExchange& aPeers,
                    PieceService& aPieces,
                    Attempt& aAttempt)
   : state_(aState)
+  , peers_(aPeers)
   , pieces_(aPieces)
   , attempt_(aAttempt)
 {
@@ -150,6 +155,9 @@
     sentAt_ = now;
     state_.loads.OnSent(
       choice->backend->id, choice->unread, choice->expected, now);
+    if (choice->unread >= kLongPrompt && attempt_.service->engine) {
+      peers_.TellPromptSent({ choice->backend->id, choice->unread });
+    }
     if (attempt_.service->engine) {
       state_.prefixes.OnSent(
         { choice->backend->id, attempt_.said.prompt.SharedPrefixes() },
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -7,6 +7,7 @@
 #include "platform/backend_answer.h"
 #include "servers/gateway/attempt.h"
 #include "servers/gateway/gateway_state.h"
+#include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -27,7 +28,10 @@
 class SendLoop
 {
 public:
-  SendLoop(GatewayState& aState, PieceService& aPieces, Attempt& aAttempt);
+  SendLoop(GatewayState& aState,
+           PeerExchange& aPeers,
+           PieceService& aPieces,
+           Attempt& aAttempt);
 
   boost::asio::awaitable<void> Run();
 
@@ -59,6 +63,7 @@
   void Answered(std::string_view aOutcome, unsigned aStatus);
 
   GatewayState& state_;
+  PeerExchange& peers_;
   PieceService& pieces_;
   Attempt& attempt_;
   std::vector<std::string> tried_;
