--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -213,6 +213,7 @@
   std::span<const Option> aOptions,
   Instant aNow)
 {
+  const std::size_t waiting = WaitingPieces();
   std::vector<JobState*> states;
   std::vector<ScheduledJob> jobs;
   for (auto& [id, state] : jobs_) {
@@ -221,9 +222,13 @@
     }
     const auto pieces = static_cast<std::uint32_t>(state.waiting.size());
     states.push_back(&state);
+    // With more waiting than a call carries, others fill its call.
+    const std::uint32_t inCall =
+      waiting > spec_.mostPieces ? spec_.mostPieces
+                                 : std::min(pieces, spec_.mostPieces);
     jobs.push_back({ state.job.priority,
                      state.job.due,
-                     TimeOf(std::min(pieces, spec_.mostPieces)),
+                     TimeOf(inCall),
                      pieces,
                      IsLarge(state) ? state.job.resultBytes * pieces : 0 });
   }
--- a/core/gateway/stage_schedule.cpp
+++ b/core/gateway/stage_schedule.cpp
@@ -74,7 +74,7 @@
   for (const std::size_t index : byUrgency) {
     const ScheduledJob& job = aJobs[index];
     const Duration startsIn = StartsIn(ahead, job, aCapacity);
-    if (aNow + startsIn + job.ownTime > job.due) {
+    if (aNow + startsIn + job.callTime > job.due) {
       late.push_back(index);
     } else {
       append(index);
--- a/core/gateway/stage_schedule.h
+++ b/core/gateway/stage_schedule.h
@@ -14,7 +14,7 @@
 {
   std::uint32_t rank = 0; ///< Zero is the most urgent.
   Instant due{};          ///< Finished by then, the request makes its target.
-  Duration ownTime{};     ///< Of a call with its pieces alone.
+  Duration callTime{};    ///< Of the call that will carry its pieces.
   std::uint32_t pieces = 0;
   std::uint64_t bytes = 0; ///< Of large results, which wait for room.
 };
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -57,6 +57,23 @@
   CHECK_FALSE(Decompress("no zlib", 8));
 }
 
+TEST_CASE("[PeerCodec] a long prompt and a job's zone come through whole")
+{
+  const auto prompt = Decode(
+    Encode({ { { "gateway-1", 7 }, 9, 3 }, PromptSent{ "r1", 14'000 } }));
+  REQUIRE(prompt);
+  CHECK(std::get<PromptSent>(prompt->body).backend == "r1");
+  CHECK(std::get<PromptSent>(prompt->body).tokens == 14'000);
+  PieceRequest request;
+  request.service = "mail";
+  request.job.preferredZone = "b";
+  request.job.zoneBytes = 7'680'000;
+  const auto job = Decode(Encode({ { { "gateway-1", 7 }, 9, 3 }, request }));
+  REQUIRE(job);
+  CHECK(std::get<PieceRequest>(job->body).job.preferredZone == "b");
+  CHECK(std::get<PieceRequest>(job->body).job.zoneBytes == 7'680'000);
+}
+
 TEST_CASE("[PeerCodec] fleet news come through whole")
 {
   FleetNews news;
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -331,6 +331,7 @@
   PieceJob job = Job(1, 3);
   job.resultBytes = 3'000'000;
   job.preferredZone = "c";
+  job.zoneBytes = 9'000'000;
   queue.Add(job);
   CHECK(queue.Next(replicas, now)->backend->zone == "c");
 }
@@ -383,6 +384,80 @@
   CHECK(mostInOneCall > 2);
 }
 
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] small results that read much are made where it "
+                  "lies")
+{
+  PieceJob job = Job(1, 3);
+  job.resultBytes = 6'000;
+  job.preferredZone = "b";
+  job.zoneBytes = 7'680'000;
+  queue.Add(job);
+  CHECK(queue.Next(replicas, now)->backend->zone == "b");
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] the time that results are kept is measured, of "
+                  "those that take room worth counting")
+{
+  const auto holdAfter = [&](std::uint64_t aBytes) {
+    PieceJob job = Job(7, 1);
+    job.resultBytes = aBytes;
+    queue.Add(job);
+    auto batch = queue.Next(replicas, now);
+    REQUIRE(batch);
+    queue.OnEnd(*batch, BatchEnd::Answered, Good(*batch), now);
+    const auto ended = queue.TakeEnded();
+    now += milliseconds(100);
+    queue.OnFreed(ended.front().handles, now);
+    queue.Add(Job(8, 1));
+    const Duration hold = queue.Next(replicas, now)->hold;
+    return hold;
+  };
+  const Duration before = milliseconds(600);
+  SUBCASE("of 60 KB in 36 MB")
+  {
+    CHECK(holdAfter(60'000) < before);
+  }
+  SUBCASE("not of 8 KB")
+  {
+    CHECK(holdAfter(8'000) == before);
+  }
+}
+
+TEST_CASE_FIXTURE(
+  LoadPlay,
+  "[BatchQueue] in a burst of the less urgent nearly all of the urgent make "
+  "their target")
+{
+  std::mt19937 random(23);
+  std::uint64_t number = 0;
+  std::set<std::uint64_t> urgent;
+  // 12 urgent requests of 3 pieces a second fit; 40 others beside them do not.
+  Play(seconds(10), [&] {
+    const auto drawn = random() % 1'000;
+    if (drawn >= 52) {
+      return;
+    }
+    PieceJob job = Job(++number, 3);
+    job.priority = drawn < 12 ? 1 : 3;
+    // The others are due sooner, as quick questions are.
+    job.due = now + milliseconds(drawn < 12 ? 1'000 : 600);
+    if (drawn < 12) {
+      urgent.insert(number);
+    }
+    Add(job);
+  });
+  const auto inTime = std::ranges::count_if(done, [&](const Done& aDone) {
+    return urgent.contains(aDone.number) &&
+           aDone.failure == PieceFailure::None &&
+           aDone.after <= milliseconds(1'000);
+  });
+  REQUIRE(urgent.size() > 80);
+  CHECK(static_cast<double>(inTime) >
+        0.95 * static_cast<double>(urgent.size()));
+}
+
 TEST_CASE_FIXTURE(
   LoadPlay,
   "[BatchQueue] in overload the urgent make their target and the others are "
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 namespace gypsum::tests {
@@ -194,6 +195,61 @@
   CHECK(counts.size() == backends.size());
 }
 
+TEST_CASE_FIXTURE(ChoiceFixture,
+                  "[ReplicaChoice] gateways that tell of long prompts at once "
+                  "read six of them at six replicas")
+{
+  // All in one millisecond: no round of news comes between them.
+  std::array<BackendLoads, 6> gateways;
+  std::map<std::string, int> prompts;
+  for (std::size_t sender = 0; sender < gateways.size(); ++sender) {
+    const PromptNeed own{ { { "s" + std::to_string(sender), 12'000 },
+                            { "own", 2'000 } },
+                          14'000 };
+    ChoiceNeed need;
+    need.zone = "a";
+    need.prompt = &own;
+    need.prefixes = &prefixes;
+    const auto choice = ChooseReplica(backends, need, gateways[sender], now);
+    REQUIRE(choice);
+    ++prompts[choice->backend->id];
+    for (std::size_t other = 0; other < gateways.size(); ++other) {
+      if (other != sender) {
+        gateways[other].OnPeerSent(choice->backend->id, choice->unread, now);
+      }
+    }
+  }
+  CHECK(prompts.size() == backends.size());
+}
+
+TEST_CASE_FIXTURE(ChoiceFixture,
+                  "[BackendLoads] a prompt that a peer told of is read after its "
+                  "tokens at the stated rate")
+{
+  loads.OnPeerSent("r0", 9'000, now);
+  CHECK(loads.Estimate("r0", now).unreadTokens == doctest::Approx(9'000));
+  CHECK(loads.Estimate("r0", now + milliseconds(100)).unreadTokens ==
+        doctest::Approx(4'500));
+  CHECK(loads.Estimate("r0", now + milliseconds(200)).unreadTokens == 0.0);
+  SUBCASE("a second one is read after the first")
+  {
+    loads.OnPeerSent("r0", 9'000, now + milliseconds(100));
+    CHECK(loads.Estimate("r0", now + milliseconds(100)).unreadTokens ==
+          doctest::Approx(13'500));
+  }
+  SUBCASE("a report of the same prompt does not count twice")
+  {
+    loads.OnPeerReport("peer", { { "r0", 1, 9'000, false } }, now);
+    CHECK(loads.Estimate("r0", now).unreadTokens == doctest::Approx(9'000));
+  }
+  SUBCASE("a report ages as the replica reads on")
+  {
+    loads.OnPeerReport("peer", { { "r1", 1, 9'000, false } }, now);
+    CHECK(loads.Estimate("r1", now + milliseconds(100)).unreadTokens ==
+          doctest::Approx(4'500));
+  }
+}
+
 TEST_CASE("[PrefixKnowledge] a part counts only behind all parts before it")
 {
   PrefixKnowledge knowledge;
--- a/tests/gateway/test_route_table.cpp
+++ b/tests/gateway/test_route_table.cpp
@@ -80,6 +80,22 @@
   CHECK(first < 9'200);
 }
 
+TEST_CASE("[RouteTable] with one priority for all customers the routes' still "
+          "tell the urgent from the rest")
+{
+  RouteSpec urgent = Route("h", "/", "urgent");
+  RouteSpec plain = Route("h", "/", "plain");
+  urgent.priority = 0;
+  plain.priority = 2;
+  const CustomerSpec usual{ "c", 1 };
+  const CustomerSpec preferred{ "d", 0 };
+  CHECK(UrgencyRank(urgent, &usual) < UrgencyRank(plain, &usual));
+  CHECK(UrgencyRank(plain, &preferred) < UrgencyRank(plain, &usual));
+  CHECK(UrgencyRank(plain, nullptr) == 2);
+  const CustomerSpec without{ "e", std::nullopt };
+  CHECK(UrgencyRank(plain, &without) == 2);
+}
+
 TEST_CASE("[RouteTable] a target without weight is never chosen")
 {
   RouteSpec route = Route("h", "/", "split");
--- a/tests/gateway/test_stage_plan.cpp
+++ b/tests/gateway/test_stage_plan.cpp
@@ -104,4 +104,18 @@
   CHECK(plan.LargestFinalInput().handle == "10.0.0.1:1/zero0");
 }
 
+TEST_CASE("[StagePlan] a stage knows the largest of what its pieces read, and "
+          "whether the request reads its results")
+{
+  const std::array<std::uint32_t, 4> pieces{ 2, 1, 8, 16 };
+  StagePlan plan(kStages, pieces);
+  CHECK(plan.LargestInputOf(3).bytes == 0);
+  plan.OnDone(2, Handles("two", 8));
+  CHECK(plan.LargestInputOf(3).bytes == 480'000);
+  CHECK(plan.LargestInputOf(3).handle == Handles("two", 1).front());
+  CHECK(plan.IsFinal(0));
+  CHECK_FALSE(plan.IsFinal(2));
+  CHECK(plan.IsFinal(3));
+}
+
 } // namespace gypsum::tests
