Give results up when the model replica has fetched them

Cause: room for results binds in every burst, and results were kept until the first event though the replica fetches them before it reads the prompt, 300 ms. Change: 100 ms after the send they are given up, unless the replica is half full or the stream could be resumed. A send that is rejected after that is refused.

--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -34,6 +34,9 @@
 /** Prompt tokens that hold up others by more than a hop between gateways,
  * about 40 ms; peers are told of these at once. */
 constexpr std::uint64_t kLongPrompt = 2'000;
+/** A model replica with free slots has fetched the results that it reads by
+ * then: some MB at 1 Gbit/s or more, and a round trip. */
+constexpr Duration kFetchTime = std::chrono::milliseconds(100);
 /** Ranks 0 to 9 are open to the system; its own priorities begin here. */
 constexpr unsigned kFirstUrgency = 2;
 constexpr unsigned kLastUrgency = 9;
@@ -57,6 +60,7 @@
   , peers_(aPeers)
   , pieces_(aPieces)
   , attempt_(aAttempt)
+  , fetched_(aState.loop)
 {
 }
 
@@ -99,7 +103,7 @@
 
 bool SendLoop::CanSendMore(Instant aNow)
 {
-  return !attempt_.life.IsOver() &&
+  return !attempt_.life.IsOver() && !areInputsFreed_ &&
          sends_ < std::max(1U, attempt_.route->mostReplicas) &&
          attempt_.endAt - aNow > kLeastSendTime && Choose().has_value() &&
          (sends_ == 0 || state_.repeats.Take(attempt_.service->name, aNow));
@@ -239,7 +243,9 @@
                      { "unread", aChoice.unread },
                      { "cached", aChoice.cached },
                      { "left", attempt_.endAt - Now().steady } });
+  FreeInputsWhenFetched(aChoice);
   SendResult result = co_await ReadAnswer(exchange, aChoice);
+  fetched_.cancel();
   result.wasSent = true;
   attempt_.life.ClearWake();
   if (attempt_.life.IsOver() && result.end) {
@@ -302,6 +308,25 @@
   }
 }
 
+void SendLoop::FreeInputsWhenFetched(const Choice& aChoice)
+{
+  // A stream that another replica may go on with needs them once more, and a
+  // replica that is half full may not have admitted the request by then.
+  if (attempt_.route->kind == Repeatability::ResumedStream ||
+      aChoice.running * 2 > aChoice.backend->slots) {
+    return;
+  }
+  fetched_.expires_after(kFetchTime);
+  fetched_.async_wait(
+    [this, alive = isAlive_](boost::system::error_code aError) {
+      if (aError || !*alive) {
+        return;
+      }
+      areInputsFreed_ = true;
+      pieces_.Free(attempt_.plan.TakeAll());
+    });
+}
+
 void SendLoop::NoteFirstPart()
 {
   if (isFirstPartNoted_ || !current_) {
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -11,7 +11,9 @@
 #include "servers/gateway/piece_service.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +30,9 @@
 class SendLoop
 {
 public:
+  ~SendLoop() { *isAlive_ = false; }
+  SendLoop(const SendLoop&) = delete;
+  SendLoop& operator=(const SendLoop&) = delete;
   SendLoop(GatewayState& aState,
            PeerExchange& aPeers,
            PieceService& aPieces,
@@ -60,6 +65,8 @@
   Instant GapLimit() const;
   bool CanSendMore(Instant aNow);
   void NoteFirstPart();
+  /** Gives the results up that the model replica has fetched by then. */
+  void FreeInputsWhenFetched(const Choice& aChoice);
   void Answered(std::string_view aOutcome, unsigned aStatus);
 
   GatewayState& state_;
@@ -78,6 +85,9 @@
   const Choice* current_ = nullptr;
   std::uint64_t unread_ = 0;
   std::optional<EdgeAnswer> failure_; ///< A backend server's own.
+  boost::asio::steady_timer fetched_;
+  std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
+  bool areInputsFreed_ = false;
 };
 
 } // namespace gypsum
