Ask full stage servers less often, forget servers that are gone

Change: the pause doubles up to one call. What is known of servers that left the registry is dropped (Retain had no caller); check knows the settings of gateways. Tests: a full replica is asked seven times a second; the gateway program passes.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -27,6 +27,8 @@
 constexpr Duration kNoReplicaWait = std::chrono::seconds(10);
 /** Wait before a replica is asked again after it was full. */
 constexpr Duration kFullPause = std::chrono::milliseconds(30);
+/** About one call. */
+constexpr Duration kLongestFullPause = std::chrono::milliseconds(240);
 /** Wait before a replica without room is asked again: about one request. */
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(250);
 /** Until measured: time from a result to the first event that it is for. */
@@ -195,9 +197,8 @@
   StageCapacity capacity;
   capacity.inTimeShare = inTimeShare_;
   const auto replicas = static_cast<double>(aOptions.size());
-  const double callMs = std::chrono::duration<double, std::milli>(
-                          TimeOf(spec_.mostPieces))
-                          .count();
+  const double callMs =
+    std::chrono::duration<double, std::milli>(TimeOf(spec_.mostPieces)).count();
   capacity.piecesPerMs = replicas * spec_.mostPieces / callMs;
   if (spec_.resultBytes > 0) {
     capacity.bytesPerMs =
@@ -223,17 +224,16 @@
     const auto pieces = static_cast<std::uint32_t>(state.waiting.size());
     states.push_back(&state);
     // With more waiting than a call carries, others fill its call.
-    const std::uint32_t inCall =
-      waiting > spec_.mostPieces ? spec_.mostPieces
-                                 : std::min(pieces, spec_.mostPieces);
+    const std::uint32_t inCall = waiting > spec_.mostPieces
+                                   ? spec_.mostPieces
+                                   : std::min(pieces, spec_.mostPieces);
     jobs.push_back({ state.job.priority,
                      state.job.due,
                      TimeOf(inCall),
                      pieces,
                      IsLarge(state) ? state.job.resultBytes * pieces : 0 });
   }
-  const StageSchedule schedule =
-    ScheduleJobs(jobs, CapacityOf(aOptions), aNow);
+  const StageSchedule schedule = ScheduleJobs(jobs, CapacityOf(aOptions), aNow);
   std::vector<JobState*> ordered;
   for (std::size_t place = 0; place < schedule.order.size(); ++place) {
     JobState* const state = states[schedule.order[place]];
@@ -517,6 +517,7 @@
     replica.slowness = before + kSlownessWeight * (ratio - before);
     replica.slownessAt = aNow;
     replica.pause = Duration{};
+    replica.fullPause = Duration{};
     Keep(aBatch, aResults, aNow);
     bool lacksRoom = false;
     for (std::size_t index = 0; index < aResults.size(); ++index) {
@@ -529,7 +530,11 @@
     return;
   }
   if (aEnd == BatchEnd::Rejected) {
-    replica.suspectUntil = aNow + kFullPause;
+    // Full again and again: another gateway's queue has it.
+    replica.fullPause = replica.fullPause.count() == 0
+                          ? kFullPause
+                          : std::min(replica.fullPause * 2, kLongestFullPause);
+    replica.suspectUntil = aNow + replica.fullPause;
     Requeue(aBatch, false);
     return;
   }
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -37,7 +37,7 @@
   std::string key;                 ///< For stages that read no results.
   std::vector<std::string> inputs; ///< Handles of results, otherwise.
   std::uint64_t resultBytes = 0;   ///< About; of one piece.
-  std::string preferredZone; ///< Where most of its bytes lie or are read.
+  std::string preferredZone;       ///< Where most of its bytes lie or are read.
   std::uint64_t zoneBytes = 0; ///< That cross zones if it is made elsewhere.
   std::uint32_t priority = 0;
   Instant due{};    ///< Finished by then, the request makes its target.
@@ -75,10 +75,10 @@
   BackendPtr backend;
   std::vector<BatchItem> items;
   Duration expected{};
-  Instant abandonAt{}; ///< Its pieces are made elsewhere after that.
-  std::size_t left = 0;        ///< Pieces that still wait for a call.
-  std::uint64_t roomLeft = 0;  ///< At the replica, for further results.
-  Duration hold{};             ///< Usual time until results are given up.
+  Instant abandonAt{};        ///< Its pieces are made elsewhere after that.
+  std::size_t left = 0;       ///< Pieces that still wait for a call.
+  std::uint64_t roomLeft = 0; ///< At the replica, for further results.
+  Duration hold{};            ///< Usual time until results are given up.
 };
 
 /** What a backend server said of one item. */
@@ -102,10 +102,11 @@
  * Answers the load of stages whose calls have a high fixed cost.
  *
  * One queue for all replicas of a stage service: a call carries pieces of
- * several requests in the order of `ScheduleJobs`. A replica gets a call when that finishes sooner than waiting for a
- * faster one. A replica has room for few large results: pieces wait for the
- * results before them to be given up rather than fail at the end of a call.
- * Pure: time comes in, calls and ends go out.
+ * several requests in the order of `ScheduleJobs`. A replica gets a call when
+ * that finishes sooner than waiting for a faster one. A replica has room for
+ * few large results: pieces wait for the results before them to be given up
+ * rather than fail at the end of a call. Pure: time comes in, calls and ends go
+ * out.
  */
 class BatchQueue
 {
@@ -158,6 +159,7 @@
     Instant slownessAt{};
     Instant suspectUntil{};
     Duration pause{};
+    Duration fullPause{}; ///< After the last rejection; zero: it took a call.
     std::uint64_t usedBytes = 0; ///< By results made or being made.
   };
   struct Call
--- a/core/gateway/stage_schedule.h
+++ b/core/gateway/stage_schedule.h
@@ -32,9 +32,9 @@
 /** The order in which jobs are made. */
 struct StageSchedule
 {
-  std::vector<std::size_t> order;  ///< Indexes of jobs, the first goes first.
-  std::vector<Duration> startsIn;  ///< By place in the order, expected.
-  std::size_t inTime = 0;          ///< So many from the front make their due.
+  std::vector<std::size_t> order; ///< Indexes of jobs, the first goes first.
+  std::vector<Duration> startsIn; ///< By place in the order, expected.
+  std::size_t inTime = 0;         ///< So many from the front make their due.
 };
 
 /**
--- a/main/check_command.cpp
+++ b/main/check_command.cpp
@@ -3,6 +3,7 @@
 #include "core/configuration/ini_document.h"
 #include "core/configuration/manifest.h"
 #include "core/configuration/settings.h"
+#include "core/gateway/gateway_settings.h"
 #include "main/commands.h"
 
 #include <algorithm>
@@ -20,11 +21,14 @@
   return faults ? *faults : Faults{};
 }
 
-/** A file with a [process] section is taken as settings. */
+/** A file with a section [gateway] or [process] is taken as settings. */
 Faults Check(const std::string& aText)
 {
   Faults ignored;
   const IniDocument document = IniDocument::Parse(aText, ignored);
+  if (document.Find("gateway")) {
+    return FaultsOf(ParseGatewaySettings(aText));
+  }
   return document.Find("process") ? FaultsOf(ParseSettings(aText))
                                   : FaultsOf(ParseManifest(aText));
 }
--- a/servers/gateway/beliefs.cpp
+++ b/servers/gateway/beliefs.cpp
@@ -3,8 +3,10 @@
 #include "drivers/clock.h"
 #include "platform/configuration_decoder.h"
 
+#include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace gypsum {
 
@@ -108,6 +110,12 @@
 void Beliefs::Expire()
 {
   Tell(state_.registry.Expire(Now().steady), "store");
+  const RegistryList list = state_.registry.Snapshot();
+  std::vector<std::string_view> known;
+  for (const RegistryChange& entry : list.entries) {
+    known.push_back(entry.id);
+  }
+  state_.loads.Retain(known);
 }
 
 } // namespace gypsum
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -267,8 +267,7 @@
   if (inputBytes == 0) {
     return {};
   }
-  const BackendPtr maker =
-    state_.registry.FindByAddress(MakerOf(input.handle));
+  const BackendPtr maker = state_.registry.FindByAddress(MakerOf(input.handle));
   return { maker ? maker->zone : "", inputBytes };
 }
 
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -253,6 +253,23 @@
   }
 }
 
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] a replica that stays full is asked less often")
+{
+  replicas.resize(1);
+  queue.Add(Job(1, 1));
+  int calls = 0;
+  for (const Instant end = now + seconds(1); now < end;
+       now += milliseconds(1)) {
+    if (const auto batch = queue.Next(replicas, now)) {
+      ++calls;
+      queue.OnEnd(*batch, BatchEnd::Rejected, {}, now);
+    }
+  }
+  // After 0, 30, 90 and 210 ms, then each 240 ms.
+  CHECK(calls == 7);
+}
+
 TEST_CASE_FIXTURE(QueueFixture,
                   "[BatchQueue] a job whose input is gone ends with that word")
 {
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -203,9 +203,9 @@
   std::array<BackendLoads, 6> gateways;
   std::map<std::string, int> prompts;
   for (std::size_t sender = 0; sender < gateways.size(); ++sender) {
-    const PromptNeed own{ { { "s" + std::to_string(sender), 12'000 },
-                            { "own", 2'000 } },
-                          14'000 };
+    const PromptNeed own{
+      { { "s" + std::to_string(sender), 12'000 }, { "own", 2'000 } }, 14'000
+    };
     ChoiceNeed need;
     need.zone = "a";
     need.prompt = &own;
@@ -222,9 +222,10 @@
   CHECK(prompts.size() == backends.size());
 }
 
-TEST_CASE_FIXTURE(ChoiceFixture,
-                  "[BackendLoads] a prompt that a peer told of is read after its "
-                  "tokens at the stated rate")
+TEST_CASE_FIXTURE(
+  ChoiceFixture,
+  "[BackendLoads] a prompt that a peer told of is read after its "
+  "tokens at the stated rate")
 {
   loads.OnPeerSent("r0", 9'000, now);
   CHECK(loads.Estimate("r0", now).unreadTokens == doctest::Approx(9'000));
--- a/tests/gateway/test_stage_schedule.cpp
+++ b/tests/gateway/test_stage_schedule.cpp
@@ -37,9 +37,10 @@
   CHECK(Schedule().inTime == 3);
 }
 
-TEST_CASE_FIXTURE(ScheduleFixture,
-                  "[StageSchedule] a job that would be late behind others steps "
-                  "back behind all that make their due times")
+TEST_CASE_FIXTURE(
+  ScheduleFixture,
+  "[StageSchedule] a job that would be late behind others steps "
+  "back behind all that make their due times")
 {
   jobs = { Job(0, 250), Job(0, 260), Job(2, 500) };
   // The second starts after 80 ms and would end 20 ms late.
@@ -55,8 +56,9 @@
   CHECK(Schedule().inTime == 0);
 }
 
-TEST_CASE_FIXTURE(ScheduleFixture,
-                  "[StageSchedule] expected starts add the work of those before")
+TEST_CASE_FIXTURE(
+  ScheduleFixture,
+  "[StageSchedule] expected starts add the work of those before")
 {
   jobs = { Job(0, 900), Job(0, 901), Job(0, 902) };
   const StageSchedule schedule = Schedule();
