--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -42,10 +42,7 @@
 constexpr Duration kLastWork = std::chrono::milliseconds(2'500);
 /** Retry-After of a refusal because this gateway leaves: go elsewhere. */
 constexpr Duration kElsewhere = std::chrono::milliseconds(50);
-/** A queue that had no place is not empty sooner: about four calls. */
-constexpr Duration kOverloadPause = std::chrono::milliseconds(1'000);
-/** While a queue is worked off, as many jobs come that go before late ones. */
-constexpr int kQueueTurns = 2;
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
 /** Nothing is known of the wire before the first configuration. */
 const ClientLimits kFirstLimits;
 
@@ -250,8 +247,7 @@
       return TimeOf(aAttempt, aStage, aWithWait);
     });
   };
-  return std::max(kOverloadPause,
-                  (remaining(true) - remaining(false)) * kQueueTurns);
+  return std::max(kLeastRetryAfter, remaining(true) - remaining(false));
 }
 
 RequestHandler::ZoneNeed RequestHandler::ZoneNeedOf(const Attempt& aAttempt,
