Log how a backend server's response ended

A relayed stream is logged as complete without the framing of the response, the end of its connection and what was left of an incomplete event. No decision changes.

--- a/core/gateway/event_splitter.h
+++ b/core/gateway/event_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,6 +26,8 @@
   /** Returns and clears the bytes of the incomplete event. */
   std::string TakePartial() { return std::exchange(partial_, {}); }
   bool HasPartial() const { return !partial_.empty(); }
+  /** Bytes of the incomplete event. */
+  std::size_t PartialBytes() const { return partial_.size(); }
   /** The id of the last complete event that had one. */
   const std::optional<std::string>& LastId() const { return lastId_; }
   /** Number of complete events. */
--- a/drivers/edge/backend_exchange.cpp
+++ b/drivers/edge/backend_exchange.cpp
@@ -23,13 +23,21 @@
 constexpr std::size_t kPartBytes = 16'384;
 constexpr unsigned kFirstFinalStatus = 200;
 
-ExchangeState StateOf(const boost::system::error_code& aError)
+} // namespace
+
+std::string_view NameOf(BodyFraming aFraming)
 {
-  return aError == beast::error::timeout ? ExchangeState::TimedOut
-                                         : ExchangeState::Broken;
+  constexpr std::array<std::string_view, 3> kNames{ "length",
+                                                    "chunks",
+                                                    "connection-end" };
+  return kNames[static_cast<std::size_t>(aFraming)];
 }
 
-} // namespace
+std::string_view NameOf(ConnectionEnd aEnd)
+{
+  constexpr std::array<std::string_view, 3> kNames{ "open", "closed", "reset" };
+  return kNames[static_cast<std::size_t>(aEnd)];
+}
 
 /** Owned by the pending write, which may outlive the exchange. */
 struct BackendExchange::PendingWrite
@@ -55,6 +63,23 @@
   Cancel();
 }
 
+ExchangeState BackendExchange::OnReadError(
+  const boost::system::error_code& aError)
+{
+  if (aError == beast::error::timeout) {
+    return ExchangeState::TimedOut;
+  }
+  const bool isClosed = aError == http::error::end_of_stream ||
+                        aError == http::error::partial_message ||
+                        aError == asio::error::eof;
+  if (isClosed) {
+    connectionEnd_ = ConnectionEnd::Closed;
+  } else if (aError.category() == asio::error::get_system_category()) {
+    connectionEnd_ = ConnectionEnd::Reset;
+  }
+  return ExchangeState::Broken;
+}
+
 asio::awaitable<ExchangeState> BackendExchange::Connect(Reuse aReuse,
                                                         Instant aDeadline)
 {
@@ -98,7 +123,7 @@
       *parser_,
       asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-      co_return StateOf(error);
+      co_return OnReadError(error);
     }
     if (parser_->get().result_int() >= kFirstFinalStatus) {
       co_return ExchangeState::Ok;
@@ -124,7 +149,7 @@
       asio::redirect_error(asio::use_awaitable, error));
     part.bytes.append(bytes.data(), bytes.size() - body.size);
     if (error && error != http::error::need_buffer) {
-      part.state = StateOf(error);
+      part.state = OnReadError(error);
       co_return part;
     }
     if (!part.bytes.empty()) {
@@ -132,9 +157,20 @@
     }
   }
   part.isEnd = parser_->is_done();
+  if (part.isEnd && parser_->need_eof()) {
+    connectionEnd_ = ConnectionEnd::Closed;
+  }
   co_return part;
 }
 
+BodyFraming BackendExchange::Framing() const
+{
+  if (parser_->chunked()) {
+    return BodyFraming::Chunks;
+  }
+  return parser_->need_eof() ? BodyFraming::ConnectionEnd : BodyFraming::Length;
+}
+
 asio::awaitable<BodyPart> BackendExchange::ReadRest(Instant aDeadline,
                                                     std::size_t aMaxBytes)
 {
--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace gypsum {
 
@@ -22,6 +23,25 @@
   TimedOut,
 };
 
+/** What marks the end of the body of a response. */
+enum class BodyFraming
+{
+  Length,
+  Chunks,
+  ConnectionEnd,
+};
+
+/** How the backend server has ended the connection. */
+enum class ConnectionEnd
+{
+  Open, ///< It has not, as far as was read.
+  Closed,
+  Reset,
+};
+
+std::string_view NameOf(BodyFraming aFraming);
+std::string_view NameOf(ConnectionEnd aEnd);
+
 /** Some bytes of the body of a response. */
 struct BodyPart
 {
@@ -55,6 +75,9 @@
   /** Reads the header of the final response; skips interim (1xx) ones. */
   boost::asio::awaitable<ExchangeState> ReadHead(Instant aDeadline);
   const Head& GetHead() const { return parser_->get().base(); }
+  /** What marks the end of the body; call after `ReadHead`. */
+  BodyFraming Framing() const;
+  ConnectionEnd GetConnectionEnd() const { return connectionEnd_; }
   /** Reads more of the body; waits for at least one byte or the end. */
   boost::asio::awaitable<BodyPart> ReadSome(Instant aDeadline);
   /** Reads the rest of the body; `Broken` if it is longer than the limit. */
@@ -71,6 +94,9 @@
 private:
   struct PendingWrite;
 
+  /** Stores how the connection ended; returns the state after an error. */
+  ExchangeState OnReadError(const boost::system::error_code& aError);
+
   BackendPool& pool_;
   std::string address_;
   BackendConnectionPtr connection_;
@@ -78,6 +104,7 @@
   std::optional<
     boost::beast::http::response_parser<boost::beast::http::buffer_body>>
     parser_;
+  ConnectionEnd connectionEnd_ = ConnectionEnd::Open;
   bool isHeadRequest_ = false;
   bool isCancelled_ = false;
 };
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -164,6 +164,7 @@
     uncachedTokens_ = choice->uncachedTokens;
     isFirstPartReported_ = false;
     sentAt_ = now;
+    responseEnd_ = {};
     state_.loads.OnSent(
       choice->backend->id, choice->uncachedTokens, choice->expected, now);
     if (choice->uncachedTokens >= kLongPromptTokens &&
@@ -203,6 +204,9 @@
         { "after", Now().steady - now },
         { "expected", choice->expected },
         { "running", static_cast<std::uint64_t>(choice->running) },
+        { "framing", responseEnd_.framing },
+        { "connection", responseEnd_.connection },
+        { "partial", responseEnd_.partialBytes },
         { "next", NameOf(step) } });
     state_.metrics.Count("sends_failed", "end", NameOf(*result.failure));
     if (step != NextStep::Retry && step != NextStep::Resume) {
@@ -274,6 +278,7 @@
     const ExchangeState readState =
       co_await aExchange.ReadHead(ResponseStartDeadline(aChoice));
     if (readState != ExchangeState::Ok) {
+      responseEnd_.connection = NameOf(aExchange.GetConnectionEnd());
       const bool isUnresponsive = readState == ExchangeState::TimedOut;
       co_return SendResult{ SendFailure::Lost,
                             isUnresponsive ? SendOutcome::Unreachable
@@ -362,6 +367,7 @@
 {
   const BodyPart body =
     co_await aExchange.ReadRest(attempt_.responseDeadline, kMaxBodyBytes);
+  StoreResponseEnd(aExchange);
   if (body.state != ExchangeState::Ok) {
     co_return SendResult{
       SendFailure::Lost, SendOutcome::Failed, "torn", true
@@ -415,6 +421,7 @@
       isFirstPartReported_ ? NextEventDeadline()
                            : ResponseStartDeadline(*currentReplica_));
     std::string events = splitter_.Add(part.bytes);
+    StoreResponseEnd(aExchange);
     if (part.isEnd && splitter_.HasPartial()) {
       // The HTTP framing marks the end, so the last event is complete even
       // without a blank line.
@@ -496,6 +503,13 @@
   RecordOutcome(ErrorResponseOf(kind).name, status);
 }
 
+void SendLoop::StoreResponseEnd(const BackendExchange& aExchange)
+{
+  responseEnd_ = { NameOf(aExchange.Framing()),
+                   NameOf(aExchange.GetConnectionEnd()),
+                   splitter_.PartialBytes() };
+}
+
 void SendLoop::RecordOutcome(std::string_view aOutcome, unsigned aStatus)
 {
   const Duration elapsed = Now().steady - attempt_.arrivedAt;
@@ -508,6 +522,9 @@
                      { "outcome", aOutcome },
                      { "status", aStatus },
                      { "events", splitter_.Events() },
+                     { "framing", responseEnd_.framing },
+                     { "connection", responseEnd_.connection },
+                     { "partial", responseEnd_.partialBytes },
                      { "sends", sendCount_ },
                      { "first", timeToFirstPart_ },
                      { "elapsed", elapsed } });
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -50,6 +50,14 @@
     bool wasSent = false; ///< Some byte of the request was sent.
   };
 
+  /** How the last response with a readable header ended, for the log. */
+  struct ResponseEnd
+  {
+    std::string_view framing = "none";
+    std::string_view connection = "none";
+    std::size_t partialBytes = 0; ///< Of an incomplete event.
+  };
+
   boost::asio::awaitable<SendResult> SendOnce(const ChosenReplica& aChoice);
   boost::asio::awaitable<SendResult> ReadResponse(BackendExchange& aExchange,
                                                   const ChosenReplica& aChoice);
@@ -76,6 +84,7 @@
   void ReportFirstPart();
   /** Releases the results of the stages once the replica has fetched them. */
   void ReleaseInputsAfterFetch(const ChosenReplica& aChoice);
+  void StoreResponseEnd(const BackendExchange& aExchange);
   /** Writes the outcome to metrics and log. */
   void RecordOutcome(std::string_view aOutcome, unsigned aStatus);
 
@@ -89,6 +98,7 @@
   bool hasResponseBegun_ = false; ///< Part of the response was written.
   bool isFirstPartReported_ = false;
   EventSplitter splitter_;
+  ResponseEnd responseEnd_;
   Instant sentAt_{};
   Instant lastEventAt_{};
   Duration timeToFirstPart_{};                    ///< Zero if none arrived.
