Test responses that break off at any byte, in each framing

Change: the fake replicas write responses with a length, in chunks or without either, and break them off at a chosen byte by a close or a reset. One fixture function cuts a response at each byte; the existing test of truncated streams runs without length and chunks as well.

--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -208,12 +208,17 @@
   if (DrawFault(faults_.fail)) {
     response.status = 500;
   }
+  const BodyFraming framing = faults_.framing.value_or(BodyFraming::Length);
   if (DrawFault(faults_.truncate)) {
-    co_await aClient.BeginStream(std::move(response));
-    co_await aClient.WritePart("result");
-    aClient.Abort();
+    CellResponseWriter writer(aClient, framing, std::nullopt);
+    co_await writer.WriteHead(response, response.body.size());
+    co_await writer.WriteBody("result");
+    BreakOff(aClient, framing != BodyFraming::ConnectionEnd);
     co_return false;
   }
+  if (faults_.framing || faults_.cut) {
+    co_return co_await WriteFramed(aClient, response);
+  }
   const EdgeResponse extraResponse = response;
   if (!co_await aClient.WriteResponse(std::move(response))) {
     co_return false;
@@ -241,24 +246,36 @@
   const int truncatedEvent =
     event +
     static_cast<int>(random_() % static_cast<unsigned>(kEventsPerStream));
-  co_await aClient.BeginStream(std::move(head));
-  for (; event <= kEventsPerStream; ++event) {
+  const auto textOf = [&](int aEvent) {
+    return "id: " + std::to_string(aEvent) + "\ndata: " + attemptId + " " +
+           std::to_string(aEvent) + "\n\n";
+  };
+  std::size_t bodyBytes = 0;
+  for (int later = event; later <= kEventsPerStream; ++later) {
+    bodyBytes += textOf(later).size();
+  }
+  CellResponseWriter writer(
+    aClient, faults_.framing.value_or(BodyFraming::Chunks), faults_.cut);
+  bool isOpen = co_await writer.WriteHead(head, bodyBytes);
+  for (; isOpen && event <= kEventsPerStream; ++event) {
     co_await Sleep(kEventInterval);
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
-    std::string text = "id: " + std::to_string(event) + "\ndata: " + attemptId +
-                       " " + std::to_string(event) + "\n\n";
+    const std::string text = textOf(event);
     if (isTruncated && event >= truncatedEvent) {
-      co_await aClient.WritePart(text.substr(0, text.size() / 2));
-      aClient.Abort();
-      co_return false;
-    }
-    if (!co_await aClient.WritePart(text)) {
+      co_await writer.WriteBody(
+        text.substr(0, 1 + random_() % (text.size() - 1)));
+      BreakOff(aClient, true);
       co_return false;
     }
+    isOpen = co_await writer.WriteBody(text);
   }
-  co_return co_await aClient.EndStream();
+  if (isOpen) {
+    isOpen = co_await writer.End();
+  }
+  cuts_ += writer.WasCut() ? 1 : 0;
+  co_return isOpen;
 }
 
 asio::awaitable<bool> CellReplica::ServePieces(ClientConnection& aClient)
@@ -290,7 +307,35 @@
   json::object results;
   results["items"] = std::move(items);
   response.body = json::serialize(results);
+  if (faults_.framing || faults_.cut) {
+    co_return co_await WriteFramed(aClient, response);
+  }
   co_return co_await aClient.WriteResponse(std::move(response));
 }
 
+asio::awaitable<bool> CellReplica::WriteFramed(ClientConnection& aClient,
+                                               const EdgeResponse& aResponse)
+{
+  CellResponseWriter writer(
+    aClient, faults_.framing.value_or(BodyFraming::Length), faults_.cut);
+  bool isOpen = co_await writer.WriteHead(aResponse, aResponse.body.size());
+  if (isOpen) {
+    isOpen = co_await writer.WriteBody(aResponse.body);
+  }
+  if (isOpen) {
+    isOpen = co_await writer.End();
+  }
+  cuts_ += writer.WasCut() ? 1 : 0;
+  co_return isOpen;
+}
+
+void CellReplica::BreakOff(ClientConnection& aClient, bool aMayClose)
+{
+  if (aMayClose && random_() % 2 == 0) {
+    aClient.Close();
+  } else {
+    aClient.Abort();
+  }
+}
+
 } // namespace gypsum::tests
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -2,12 +2,14 @@
 
 #include "drivers/edge/edge_listener.h"
 #include "tests/cell/cell_loop.h"
+#include "tests/cell/cell_response_writer.h"
 #include "tests/cell/cell_store.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -33,12 +35,15 @@
   double refuse = 0.0;       ///< Responds 503 without executing the request.
   double fail = 0.0;         ///< Responds 500 after execution.
   double loseResponse = 0.0; ///< Resets the connection after execution.
-  double truncate = 0.0;     ///< Aborts the connection within the response.
+  double truncate = 0.0;     ///< Ends the connection within the response.
   double hang = 0.0;         ///< Executes, then responds after all timeouts.
   double sendExtraResponse = 0.0; ///< Sends each response twice.
   bool isUnresponsive = false; ///< Blocks requests and streams until cleared.
   bool closesAfterResponse = false; ///< Closes the connection after a response.
   double delayFactor = 1.0;         ///< Multiplies all processing times.
+  /** Framing of responses; empty for the usual one of the kind. */
+  std::optional<BodyFraming> framing;
+  std::optional<CellCut> cut; ///< Breaks off responses at this byte.
 };
 
 /** Fake model replica, plain server or stage server. */
@@ -75,6 +80,8 @@
   std::uint32_t MaxConcurrentCalls() const { return maxConcurrentCalls_; }
   /** Number of pieces computed so far. */
   std::uint64_t Pieces() const { return pieces_; }
+  /** Number of responses that were broken off by `CellFaults::cut`. */
+  std::uint64_t Cuts() const { return cuts_; }
   /** Number of results that have not been released. */
   std::size_t Results() const { return results_.size(); }
 
@@ -89,6 +96,12 @@
                               std::string aBody) const;
   EdgeResponse NotExecutedResponse(unsigned aStatus) const;
   bool DrawFault(double aChance);
+  /** Writes a response with the framing and the cut of the faults. */
+  boost::asio::awaitable<bool> WriteFramed(ClientConnection& aClient,
+                                           const EdgeResponse& aResponse);
+  /** Ends the connection within a response; a clean close of one without
+   * length or chunks would look complete, so that it is reset. */
+  void BreakOff(ClientConnection& aClient, bool aMayClose);
   void PublishEntry(const std::string& aState);
   void RecordExecution(const ClientConnection& aClient);
 
@@ -108,6 +121,7 @@
   std::uint32_t calls_ = 0;
   std::uint32_t maxConcurrentCalls_ = 0;
   std::uint64_t pieces_ = 0;
+  std::uint64_t cuts_ = 0;
   std::uint64_t lastResult_ = 0;
   std::map<std::string, std::string> results_; ///< Item id by result handle.
 };
--- a/tests/cell/test_gateway_process.cpp
+++ b/tests/cell/test_gateway_process.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <csignal>
 #include <future>
 #include <thread>
@@ -15,6 +16,22 @@
 
 using std::chrono::milliseconds;
 
+/** How responses are framed, and how they are broken off. */
+struct CutSample
+{
+  BodyFraming framing = BodyFraming::Length;
+  bool isReset = false;
+};
+
+constexpr std::array kCutSamples{
+  CutSample{ BodyFraming::Length, false },
+  CutSample{ BodyFraming::Length, true },
+  CutSample{ BodyFraming::Chunks, false },
+  CutSample{ BodyFraming::Chunks, true },
+  CutSample{ BodyFraming::ConnectionEnd, false },
+  CutSample{ BodyFraming::ConnectionEnd, true },
+};
+
 struct CellFixture
 {
   CellFixture() { REQUIRE(cell.Start()); }
@@ -35,6 +52,93 @@
     });
   }
 
+  /** Truncated streams are resumed or seen as aborted by their clients. */
+  void CheckTruncatedStreams(BodyFraming aFraming)
+  {
+    SetFaults(cell.ModelReplicas(), [&](CellFaults& aFaults) {
+      aFaults.framing = aFraming;
+      aFaults.truncate = 1.0;
+    });
+    const CellRequest chat = cell.MakeStreamRequest("/chat/x");
+    const CellResponse truncated = Send(chat);
+    CHECK_FALSE(truncated.isComplete);
+    CHECK(cell.ExecutionsOf(chat.attemptId).size() == 1);
+    SetFaults(cell.ModelReplicas(),
+              [](CellFaults& aFaults) { aFaults.truncate = 0.5; });
+    int resumed = 0;
+    for (int round = 0; round < 30; ++round) {
+      CellRequest stream = cell.MakeStreamRequest("/long/x");
+      // Each request gets its own prompt prefix; with a common one, all would
+      // go to one replica.
+      stream.prompt = "aa" + std::to_string(round) + ":60,bb:40";
+      const CellResponse response = Send(stream);
+      const auto executions = cell.ExecutionsOf(stream.attemptId);
+      CHECK(executions.size() <= 2);
+      if (!response.isComplete || response.status != 200) {
+        continue;
+      }
+      CHECK(IsCompleteStream(response.body, stream.attemptId));
+      // A resumed response keeps the response header of its first replica.
+      const bool isResumed = executions.back().isResumed;
+      CHECK(response.replicaSeal.starts_with(
+        isResumed ? executions.front().replica : executions.back().replica));
+      resumed += isResumed ? 1 : 0;
+    }
+    CHECK(resumed > 0);
+  }
+
+  /** Breaks off responses of a group at each byte in turn; none of them may
+   * reach the client as complete. */
+  template<typename Group>
+  void CheckCutsAtEachByte(Group& aGroup,
+                           const std::string& aPath,
+                           const CutSample& aSample)
+  {
+    const auto cuts = [&] {
+      return cell.Run([&] {
+        std::uint64_t sum = 0;
+        for (const auto& replica : aGroup) {
+          sum += replica->Cuts();
+        }
+        return sum;
+      });
+    };
+    // The end of the connection is the regular end of such a response. Between
+    // two events, nothing else tells that a stream was broken off.
+    const bool hasRegularEnd =
+      aSample.framing == BodyFraming::ConnectionEnd && !aSample.isReset;
+    bool wasCut = true;
+    for (std::size_t byte = 0; wasCut; ++byte) {
+      const std::uint64_t cutsBefore = cuts();
+      SetFaults(aGroup, [&](CellFaults& aFaults) {
+        aFaults.delayFactor = 0.0;
+        aFaults.framing = aSample.framing;
+        aFaults.cut = CellCut{ byte, aSample.isReset };
+      });
+      const bool isStream = aPath == "/chat/x";
+      const CellRequest request =
+        isStream ? cell.MakeStreamRequest(aPath) : cell.MakePlainRequest(aPath);
+      const CellResponse response = Send(request);
+      wasCut = cuts() > cutsBefore;
+      CAPTURE(NameOf(aSample.framing));
+      CAPTURE(aSample.isReset);
+      CAPTURE(byte);
+      CAPTURE(response.body);
+      if (!wasCut) {
+        CHECK(response.isComplete);
+      }
+      if (!response.isComplete || response.status != 200) {
+        continue;
+      }
+      const bool isWhole =
+        isStream ? IsCompleteStream(response.body, request.attemptId)
+                 : response.body == "result of " + request.attemptId;
+      const bool isRegularEnd =
+        hasRegularEnd && (!isStream || response.body.ends_with("\n\n"));
+      CHECK((isWhole || isRegularEnd));
+    }
+  }
+
   Cell cell{ CellSize{} };
 };
 
@@ -124,34 +228,32 @@
                   "if its route is resumable, else the client sees it "
                   "aborted")
 {
-  SetFaults(cell.ModelReplicas(),
-            [](CellFaults& aFaults) { aFaults.truncate = 1.0; });
-  const CellRequest chat = cell.MakeStreamRequest("/chat/x");
-  const CellResponse truncated = Send(chat);
-  CHECK_FALSE(truncated.isComplete);
-  CHECK(cell.ExecutionsOf(chat.attemptId).size() == 1);
-  SetFaults(cell.ModelReplicas(),
-            [](CellFaults& aFaults) { aFaults.truncate = 0.5; });
-  int resumed = 0;
-  for (int round = 0; round < 30; ++round) {
-    CellRequest stream = cell.MakeStreamRequest("/long/x");
-    // Each request gets its own prompt prefix; with a common one, all would go
-    // to one replica.
-    stream.prompt = "aa" + std::to_string(round) + ":60,bb:40";
-    const CellResponse response = Send(stream);
-    const auto executions = cell.ExecutionsOf(stream.attemptId);
-    CHECK(executions.size() <= 2);
-    if (!response.isComplete || response.status != 200) {
-      continue;
-    }
-    CHECK(IsCompleteStream(response.body, stream.attemptId));
-    // A resumed response keeps the response header of its first replica.
-    const bool isResumed = executions.back().isResumed;
-    CHECK(response.replicaSeal.starts_with(
-      isResumed ? executions.front().replica : executions.back().replica));
-    resumed += isResumed ? 1 : 0;
+  CheckTruncatedStreams(BodyFraming::Chunks);
+}
+
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a truncated stream without length or chunks "
+                  "resumes or is seen aborted as well")
+{
+  CheckTruncatedStreams(BodyFraming::ConnectionEnd);
+}
+
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a stream that breaks off at any byte never "
+                  "reaches its client as complete")
+{
+  for (const CutSample& sample : kCutSamples) {
+    CheckCutsAtEachByte(cell.ModelReplicas(), "/chat/x", sample);
+  }
+}
+
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a plain response that breaks off at any byte "
+                  "never reaches its client as complete")
+{
+  for (const CutSample& sample : kCutSamples) {
+    CheckCutsAtEachByte(cell.PlainServers(), "/once/x", sample);
   }
-  CHECK(resumed > 0);
 }
 
 TEST_CASE_FIXTURE(CellFixture,
--- a/tests/gateway/test_edge.cpp
+++ b/tests/gateway/test_edge.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <memory>
 
@@ -126,15 +127,20 @@
     co_return received;
   }
 
-  /** Sends one request; the server responds with `aBytes` and closes. */
-  Received RespondWith(const std::string& aBytes)
+  /** Sends one request; the server responds with `aBytes` and closes or resets
+   * the connection. */
+  Received RespondWith(const std::string& aBytes, bool aIsReset = false)
   {
     auto received = boost::asio::co_spawn(
       loop.Context(), RunExchange(pool, Address(2)), boost::asio::use_future);
     RawSocket socket = server.Accept();
     socket.ReadMessage();
     socket.Send(aBytes);
-    socket.Close();
+    if (aIsReset) {
+      socket.Reset();
+    } else {
+      socket.Close();
+    }
     return received.get();
   }
 
@@ -274,6 +280,50 @@
   }
 }
 
+TEST_CASE_FIXTURE(ExchangeFixture,
+                  "[Edge] a response cut off at any byte is complete only if "
+                  "its framing says so")
+{
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "123456789";
+  struct Sample
+  {
+    std::string head;
+    std::string framedBody;
+    BodyFraming framing;
+  };
+  const std::array samples{
+    Sample{ start + "Content-Length: 9\r\n\r\n", body, BodyFraming::Length },
+    Sample{ start + "Transfer-Encoding: chunked\r\n\r\n",
+            "4;x=y\r\n1234\r\n5\r\n56789\r\n0\r\nTrailer: t\r\n\r\n",
+            BodyFraming::Chunks },
+    Sample{ start + "X: y\r\n\r\n", body, BodyFraming::ConnectionEnd }
+  };
+  for (const Sample& sample : samples) {
+    const std::string bytes = sample.head + sample.framedBody;
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+      for (const bool isReset : { false, true }) {
+        CAPTURE(sample.head);
+        CAPTURE(cut);
+        CAPTURE(isReset);
+        const bool isWhole = sample.framing == BodyFraming::ConnectionEnd
+                               ? cut >= sample.head.size() && !isReset
+                               : cut == bytes.size();
+        const Received received = RespondWith(bytes.substr(0, cut), isReset);
+        const bool isComplete = received.head == ExchangeState::Ok &&
+                                received.body.state == ExchangeState::Ok;
+        if (!isWhole) {
+          CHECK_FALSE(isComplete);
+        } else if (!isReset) {
+          CHECK(isComplete);
+          CHECK(body.starts_with(received.body.bytes));
+        }
+      }
+    }
+  }
+  CHECK(IdleCount() == 0);
+}
+
 TEST_CASE_FIXTURE(ExchangeFixture,
                   "[Edge] a response without a length ends with its "
                   "connection, which is not reused")
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -107,6 +107,13 @@
   }
 }
 
+void RawSocket::Reset()
+{
+  const linger discard{ 1, 0 };
+  setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+  Close();
+}
+
 void RawSocket::CloseSending() const
 {
   shutdown(descriptor_, SHUT_WR);
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -35,6 +35,8 @@
   /** Closes the sending direction only. */
   void CloseSending() const;
   void Close();
+  /** Resets the connection. */
+  void Reset();
 
 private:
   int descriptor_ = -1;
