Break off a stream that ends inside an event

A stream may have neither a length nor chunks and end with its connection. When a replica closed it inside an event, the HTTP reader reported a regular end, and the relay passed on the incomplete event as the last one and ended the response. Change: core/gateway/stream_end decides whether an ended stream is complete: not inside an event, whatever its framing, and not without any event if only the connection marks its end. Such a stream is resumed or aborted like one with a read error. It works for the class, since every stream passes this one place and no other framing lets a cut look like the end.

--- a/core/gateway/event_splitter.h
+++ b/core/gateway/event_splitter.h
@@ -23,11 +23,16 @@
   std::string Add(std::string_view aBytes);
   /** Discards the bytes of the incomplete event. */
   void DropPartial() { partial_.clear(); }
-  /** Returns and clears the bytes of the incomplete event. */
+  /** Returns and clears the bytes after the last complete event. */
   std::string TakePartial() { return std::exchange(partial_, {}); }
-  bool HasPartial() const { return !partial_.empty(); }
-  /** Bytes of the incomplete event. */
+  /** Number of bytes after the last complete event. */
   std::size_t PartialBytes() const { return partial_.size(); }
+  /** Whether an event has begun and is not complete; line ends between two
+   * events begin none. */
+  bool IsInsideEvent() const
+  {
+    return partial_.find_first_not_of("\r\n") != std::string::npos;
+  }
   /** The id of the last complete event that had one. */
   const std::optional<std::string>& LastId() const { return lastId_; }
   /** Number of complete events. */
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/send_loop.h"
 
+#include "core/gateway/stream_end.h"
 #include "drivers/clock.h"
 #include "platform/piece_calls.h"
 
@@ -416,15 +417,19 @@
   const EdgeResponse clientHead{ aHead.status,
                                  FieldsForClient(aExchange.GetHead()),
                                  "" };
+  const std::uint64_t eventsBefore = splitter_.Events();
   for (;;) {
     const BodyPart part = co_await aExchange.ReadSome(
       isFirstPartReported_ ? NextEventDeadline()
                            : ResponseStartDeadline(*currentReplica_));
     std::string events = splitter_.Add(part.bytes);
     StoreResponseEnd(aExchange);
-    if (part.isEnd && splitter_.HasPartial()) {
-      // The HTTP framing marks the end, so the last event is complete even
-      // without a blank line.
+    const bool isBrokenOff =
+      part.isEnd &&
+      !IsComplete({ aExchange.Framing() != BodyFraming::ConnectionEnd,
+                    splitter_.IsInsideEvent(),
+                    splitter_.Events() - eventsBefore });
+    if (part.isEnd && !isBrokenOff) {
       events.append(splitter_.TakePartial());
     }
     if (!events.empty()) {
@@ -446,7 +451,7 @@
         };
       }
     }
-    if (part.state != ExchangeState::Ok) {
+    if (part.state != ExchangeState::Ok || isBrokenOff) {
       const bool isUnresponsive = part.state == ExchangeState::TimedOut;
       co_return SendResult{
         hasResponseBegun_ ? SendFailure::Interrupted : SendFailure::Lost,
--- a/tests/gateway/test_event_splitter.cpp
+++ b/tests/gateway/test_event_splitter.cpp
@@ -1,4 +1,5 @@
 #include "core/gateway/event_splitter.h"
+#include "core/gateway/stream_end.h"
 
 #include <doctest/doctest.h>
 
@@ -20,7 +21,8 @@
     CHECK(out == complete);
     CHECK(splitter.LastId() == "2");
     CHECK(splitter.Events() == 2);
-    CHECK(splitter.HasPartial());
+    CHECK(splitter.IsInsideEvent());
+    CHECK(splitter.PartialBytes() == std::string_view("id: 3\nda").size());
   }
 }
 
@@ -57,4 +59,29 @@
   CHECK_FALSE(splitter.LastId().has_value());
 }
 
+TEST_CASE("[EventSplitter] a stream is inside an event from its first byte to "
+          "the end of its blank line")
+{
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (std::size_t cut = 0; cut <= event.size(); ++cut) {
+    EventSplitter splitter;
+    splitter.Add(event.substr(0, cut));
+    CHECK(splitter.IsInsideEvent() == (cut > 0 && cut < event.size()));
+  }
+  EventSplitter splitter;
+  splitter.Add(event + "\r\n");
+  CHECK_FALSE(splitter.IsInsideEvent());
+}
+
+TEST_CASE("[StreamEnd] a stream is complete between events, if something "
+          "marks its end")
+{
+  CHECK(IsComplete({ true, false, 0 }));
+  CHECK(IsComplete({ true, false, 3 }));
+  CHECK(IsComplete({ false, false, 3 }));
+  CHECK_FALSE(IsComplete({ false, false, 0 }));
+  CHECK_FALSE(IsComplete({ true, true, 3 }));
+  CHECK_FALSE(IsComplete({ false, true, 3 }));
+}
+
 } // namespace gypsum::tests
