Reset a stream to an HTTP/1.0 client unless it was ended

Such a client gets neither a length nor chunks. Change: the connection resets on close from the head of such a stream to its end; Abort uses the same function.

--- a/drivers/edge/client_connection.cpp
+++ b/drivers/edge/client_connection.cpp
@@ -170,6 +170,9 @@
   isChunked_ = request_.version() >= 11;
   if (!isChunked_) {
     keepsAlive_ = false;
+    // The system closes the connections of a process that is killed, which
+    // would end the response as complete.
+    SetResetOnClose(true);
   }
   http::response<http::empty_body> response;
   response.base() = http::response_header<>(std::move(aHead.fields));
@@ -218,6 +221,8 @@
       stream_,
       http::make_chunk_last(),
       asio::redirect_error(asio::use_awaitable, error));
+  } else {
+    SetResetOnClose(false);
   }
   hasDisconnected_ = hasDisconnected_ || error;
   co_return !error;
@@ -261,12 +266,17 @@
     });
 }
 
+void ClientConnection::SetResetOnClose(bool aIsReset)
+{
+  boost::system::error_code ignored;
+  stream_.socket().set_option(asio::socket_base::linger(aIsReset, 0), ignored);
+}
+
 void ClientConnection::Abort()
 {
   keepsAlive_ = false;
-  boost::system::error_code ignored;
   // A client cannot mistake a reset for the end of a response.
-  stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  SetResetOnClose(true);
   stream_.close();
 }
 
--- a/drivers/edge/client_connection.h
+++ b/drivers/edge/client_connection.h
@@ -83,6 +83,9 @@
   boost::asio::awaitable<RequestReadResult> ReadHeaderAndBody(
     const ClientLimits& aLimits);
   void Watch();
+  /** Whether closing the connection, also by the end of the process, resets
+   * it. */
+  void SetResetOnClose(bool aIsReset);
   void SetFraming(boost::beast::http::fields& aFields) const;
 
   boost::beast::tcp_stream stream_;
--- a/tests/cell/test_gateway_process.cpp
+++ b/tests/cell/test_gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "tests/cell/cell.h"
 #include "tests/cell/stream_check.h"
+#include "tests/support/raw_socket.h"
 #include "tests/support/read_file.h"
 #include "tests/support/wait.h"
 
@@ -256,6 +257,24 @@
   }
 }
 
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a killed gateway resets a stream whose end only "
+                  "the connection marks")
+{
+  SetFaults(cell.ModelReplicas(),
+            [](CellFaults& aFaults) { aFaults.delayFactor = 30.0; });
+  const CellRequest stream = cell.MakeStreamRequest("/chat/x");
+  CellGateway& gateway = cell.Gateways()[0];
+  RawSocket client(gateway.clientAddress);
+  client.Send("POST /chat/x HTTP/1.0\r\nHost: cell.example\r\nAttempt-Id: " +
+              stream.attemptId + "\r\nCredential: " + stream.apiKey +
+              "\r\nModel: m\r\nToken-Counts: 100,40\r\nPrompt-Prefix: " +
+              stream.prompt + "\r\nContent-Length: 0\r\n\r\n");
+  CHECK(client.ReadUntil("id: 1\n").ends_with("id: 1\n"));
+  gateway.process.reset();
+  CHECK(client.EndsWithReset());
+}
+
 TEST_CASE_FIXTURE(CellFixture,
                   "[Gateway] an extra response of a server never reaches "
                   "another request")
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -140,6 +140,13 @@
   return text;
 }
 
+bool RawSocket::EndsWithReset() const
+{
+  errno = 0;
+  ReadToEnd();
+  return errno == ECONNRESET;
+}
+
 std::string RawSocket::ReadUntil(std::string_view aText) const
 {
   // Reads single bytes, so that none after the text are consumed.
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -28,6 +28,8 @@
   bool Send(std::string_view aBytes) const;
   /** Reads until the end of the stream, a reset or the read timeout. */
   std::string ReadToEnd() const;
+  /** Reads until the connection ends; true if it was reset. */
+  bool EndsWithReset() const;
   /** Reads up to and including a text; stops early where `ReadToEnd` stops. */
   std::string ReadUntil(std::string_view aText) const;
   /** Reads one request or reply; a body needs a Content-Length. */
