--- a/tests/drivers/test_http_client.h
+++ b/tests/drivers/test_http_client.h
@@ -212,6 +212,55 @@
   }
 }
 
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "[HttpClient] a reply that is cut off at any byte is "
+                  "discarded")
+{
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& reply :
+       { start + "Content-Length: 4\r\n\r\nbody",
+         start + "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n"
+                 "0\r\n\r\n" }) {
+    for (std::size_t cut = 0; cut < reply.size(); ++cut) {
+      for (const bool isReset : { false, true }) {
+        CAPTURE(reply);
+        CAPTURE(cut);
+        CAPTURE(isReset);
+        auto call = Call(ConnectionUse::Fresh);
+        RawSocket server = listener_.Accept();
+        server.ReadMessage();
+        server.Send(reply.substr(0, cut));
+        if (isReset) {
+          server.Reset();
+        } else {
+          server.Close();
+        }
+        const HttpCallResult result = call.get();
+        CHECK(result.wasSent);
+        CHECK_FALSE(result.reply);
+      }
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "[HttpClient] a complete reply in chunks is returned")
+{
+  for (const char* const body :
+       { "4\r\nbody\r\n0\r\n\r\n", "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n" }) {
+    CAPTURE(body);
+    auto call = Call(ConnectionUse::Fresh);
+    RawSocket server = listener_.Accept();
+    server.ReadMessage();
+    server.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    server.Send(body);
+    const HttpCallResult result = call.get();
+    CAPTURE(result.failure);
+    REQUIRE(result.reply);
+    CHECK(result.reply->body == "body");
+  }
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture,
                   "[HttpClient] aborting a call closes the connection at once")
 {
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -272,4 +272,32 @@
   CHECK(ProducerOf("10.0.0.1:1/a") == "10.0.0.1:1");
 }
 
+TEST_CASE("[Platform] results, store responses and entries that are cut off at "
+          "any byte are not decoded")
+{
+  const std::string results =
+    R"({"items":[{"handle":"10.0.0.1:1/a"},{"reason":"gone"}]})";
+  const std::string list =
+    R"({"items":[{"key":"op/config","value":"e30=","revision":3}],)"
+    R"("more-pages":false,"store-revision":9})";
+  const std::string entry = RegistryEntry();
+  REQUIRE(DecodePieceResults(results, 2));
+  REQUIRE(std::holds_alternative<StoreResponse>(DecodeStoreResponse(list)));
+  for (std::size_t cut = 0; cut < results.size(); ++cut) {
+    CHECK_FALSE(DecodePieceResults(results.substr(0, cut), 2));
+  }
+  for (std::size_t cut = 0; cut < list.size(); ++cut) {
+    CHECK(std::holds_alternative<DecodeFault>(
+      DecodeStoreResponse(list.substr(0, cut))));
+  }
+  for (std::size_t cut = 0; cut < entry.size(); ++cut) {
+    CHECK(std::holds_alternative<DecodeFault>(
+      DecodeBackend("i-1", entry.substr(0, cut))));
+  }
+  for (std::size_t cut = 0; cut < kConfiguration.size(); ++cut) {
+    CHECK(std::holds_alternative<DecodeFault>(
+      DecodeConfiguration(kConfiguration.substr(0, cut))));
+  }
+}
+
 } // namespace gypsum::tests
