Log the software version of backend servers and what a stream resumes

Change: the registry keeps the version that an entry names, also as told by peers; the changes of the registry, request-sent and the state dump print it. request-sent says which event and whose attempt it goes on from.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -24,6 +24,18 @@
 
 } // namespace
 
+RegistryEvent BackendRegistry::EventOf(std::string_view aId,
+                                       std::string_view aKind,
+                                       const Entry& aEntry)
+{
+  RegistryEvent event{ std::string(aId), std::string(aKind), "", "" };
+  if (aEntry.record) {
+    event.service = aEntry.record->service;
+    event.version = aEntry.record->version;
+  }
+  return event;
+}
+
 std::vector<RegistryEvent> BackendRegistry::Apply(const RegistryChange& aChange,
                                                   Instant aNow)
 {
@@ -40,11 +52,10 @@
       found->second.missingUntil = *reregistrationEndsAt_;
       return {};
     }
-    const std::string service =
-      found->second.record ? found->second.record->service : "";
+    const RegistryEvent removed = EventOf(aChange.id, "removed", found->second);
     entries_.erase(found);
     Rebuild();
-    return { { aChange.id, "removed", service } };
+    return { removed };
   }
   Entry& entry = entries_[aChange.id];
   entry.revision = aChange.revision;
@@ -52,7 +63,7 @@
   if (aChange.isUnreadable) {
     entry.record.reset();
     Rebuild();
-    return { { aChange.id, "unreadable", "" } };
+    return { EventOf(aChange.id, "unreadable", entry) };
   }
   const std::string kind(DescribeChange(entry.record, *aChange.record));
   if (kind.empty()) {
@@ -60,7 +71,7 @@
   }
   entry.record = std::make_shared<const BackendRecord>(*aChange.record);
   Rebuild();
-  return { { aChange.id, kind, entry.record->service } };
+  return { EventOf(aChange.id, kind, entry) };
 }
 
 std::vector<RegistryEvent> BackendRegistry::Replace(
@@ -103,8 +114,7 @@
     if (!entry.missingUntil || aNow < *entry.missingUntil) {
       return false;
     }
-    events.push_back(
-      { aItem.first, "removed", entry.record ? entry.record->service : "" });
+    events.push_back(EventOf(aItem.first, "removed", entry));
     return true;
   });
   if (!events.empty()) {
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -23,6 +23,7 @@
   std::uint32_t slots = 1;
   bool isDraining = false;
   std::uint64_t startedMs = 0; ///< Unix time; identifies the incarnation.
+  std::string version;         ///< Of its software; not of model weights.
 
   bool operator==(const BackendRecord&) const = default;
 };
@@ -52,6 +53,7 @@
   std::string id;
   std::string kind; ///< `added`, `restarted`, `draining`, `removed`, ...
   std::string service;
+  std::string version; ///< Of the software; empty if the entry is unreadable.
 };
 
 /**
@@ -97,6 +99,9 @@
     std::optional<Instant> missingUntil;
   };
 
+  static RegistryEvent EventOf(std::string_view aId,
+                               std::string_view aKind,
+                               const Entry& aEntry);
   void Rebuild();
   bool IsWithinReregistrationPeriod(Instant aNow) const;
 
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -166,6 +166,7 @@
       item.set_slots(entry.record->slots);
       item.set_is_draining(entry.record->isDraining);
       item.set_started_ms(entry.record->startedMs);
+      item.set_software_version(entry.record->version);
     }
   }
 }
@@ -451,9 +452,10 @@
     };
     if (!item.is_unreadable()) {
       entry.record =
-        BackendRecord{ item.id(),        item.service(), item.address(),
-                       item.zone(),      item.slots(),   item.is_draining(),
-                       item.started_ms() };
+        BackendRecord{ item.id(),         item.service(),
+                       item.address(),    item.zone(),
+                       item.slots(),      item.is_draining(),
+                       item.started_ms(), item.software_version() };
     }
     reply.list.entries.push_back(std::move(entry));
   }
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -213,7 +213,8 @@
     }
     const LoadEstimate load = state_.loads.Estimate(entry.id, now);
     text += "backend " + entry.id + ": service " + entry.record->service +
-            ", zone " + entry.record->zone +
+            ", software " + entry.record->version + ", zone " +
+            entry.record->zone +
             (entry.record->isDraining ? ", draining" : "") + ", running " +
             std::to_string(load.running) + ", slowness " +
             std::to_string(load.latencyRatio) + ", failures " +
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -59,6 +59,7 @@
                      "backend-" + event.kind,
                      { { "backend", event.id },
                        { "service", event.service },
+                       { "software", event.version },
                        { "source", aSource },
                        { "registry", state_.registry.Revision() } });
   }
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -250,15 +250,19 @@
   }
   exchange.Send(
     ToBackendRequest(attempt_.client->GetRequest(), HeadersFor(backend)));
-  state_.log.Write(LogClass::Normal,
-                   "request-sent",
-                   { { "id", attempt_.parameters.id },
-                     { "backend", backend.id },
-                     { "expected", aChoice.expected },
-                     { "running", static_cast<std::uint64_t>(aChoice.running) },
-                     { "unread", aChoice.uncachedTokens },
-                     { "cached", aChoice.cachedTokens },
-                     { "left", attempt_.responseDeadline - Now().steady } });
+  state_.log.Write(
+    LogClass::Normal,
+    "request-sent",
+    { { "id", attempt_.parameters.id },
+      { "backend", backend.id },
+      { "software", backend.version },
+      { "resumes", attempt_.parameters.resumedAttempt },
+      { "after", splitter_.LastId().value_or(attempt_.parameters.lastEvent) },
+      { "expected", aChoice.expected },
+      { "running", static_cast<std::uint64_t>(aChoice.running) },
+      { "unread", aChoice.uncachedTokens },
+      { "cached", aChoice.cachedTokens },
+      { "left", attempt_.responseDeadline - Now().steady } });
   ReleaseInputsAfterFetch(aChoice);
   SendResult result = co_await ReadResponse(exchange, aChoice);
   fetchTimer_.cancel();
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -74,6 +74,23 @@
   CHECK(std::get<PieceRequest>(job->body).job.zoneBytes == 7'680'000);
 }
 
+TEST_CASE("[PeerCodec] the registry is transferred with software versions")
+{
+  RegistryReply reply;
+  reply.list.revision = 12;
+  const BackendRecord record{ "i-1", "model", "10.0.0.1:1", "z",
+                              64,    true,    17,           "v1.2" };
+  reply.list.entries = { { "i-1", 11, record, false },
+                         { "i-2", 12, std::nullopt, true } };
+  const auto received = Decode(Encode({ { { "gateway-1", 7 }, 9, 3 }, reply }));
+  REQUIRE(received);
+  const auto& list = std::get<RegistryReply>(received->body).list;
+  CHECK(list.revision == 12);
+  REQUIRE(list.entries.size() == 2);
+  CHECK(list.entries[0].record == record);
+  CHECK(list.entries[1].isUnreadable);
+}
+
 TEST_CASE("[PeerCodec] a fleet update is transferred unchanged")
 {
   FleetUpdate update;
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -14,8 +14,8 @@
                               std::string aAddress,
                               std::uint64_t aStarted = 1)
   {
-    return { std::move(aId), "model", std::move(aAddress), "z", 4,
-             false,          aStarted };
+    return { std::move(aId), "model", std::move(aAddress), "z", 4, false,
+             aStarted,       "v1" };
   }
 
   void Add(const BackendRecord& aRecord, std::uint64_t aRevision)
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -35,7 +35,8 @@
                        std::string(1, static_cast<char>('a' + index % 3)),
                        1,
                        false,
-                       1 }));
+                       1,
+                       "v1" }));
     }
   }
 
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -109,6 +109,7 @@
   const auto good = DecodeBackend("i-1", RegistryEntry());
   REQUIRE(std::holds_alternative<BackendRecord>(good));
   CHECK(std::get<BackendRecord>(good).startedMs == 17);
+  CHECK(std::get<BackendRecord>(good).version == "v1");
   for (const std::string& text : { std::string("not json"),
                                    std::string("{}"),
                                    RegistryEntry(R"(,"state":"new")"),
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -25,7 +25,8 @@
                        index % 2 == 0 ? "a" : "b",
                        64,
                        false,
-                       1 }));
+                       1,
+                       "v1" }));
     }
   }
 
