Let a stream go on only at the version that began it

Neither the gateway's own resume nor the placement of a stream that a client takes up looked at the version, and no gateway remembered who had begun a stream. Change: the version, with the service, is a fact of the stream from its first event on. It limits the choice of servers for all that follows; gateways copy it to four peers and, when they stop, hand it over; a client's resume is looked up at all of them. What nobody knows goes on only where a single version has served for 30 s, else it is refused as origin-unknown, and as version-gone if no server of the version is ready.

--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -37,6 +37,8 @@
   Overloaded,
   DeadlineTooShort,
   NoReplica,
+  OriginUnknown,
+  VersionGone,
   RecordsFull,
   DeadlineExceeded,
   OwnerUnreachable,
--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -4,6 +4,8 @@
 #include "core/gateway/backend_registry.h"
 #include "core/gateway/batch_queue.h"
 #include "core/gateway/prefix_cache_index.h"
+#include "core/gateway/resume_policy.h"
+#include "core/gateway/stream_origins.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -42,6 +44,26 @@
   std::uint64_t tokens = 0; ///< Tokens that the replica has not cached.
 };
 
+/** Origins of streams that the receiver may have to resume. */
+struct StreamOriginNotice
+{
+  std::vector<ExpiringOrigin> origins;
+};
+
+/** Asks what the receiver knows of a stream that a client resumes. */
+struct StreamOriginRequest
+{
+  std::uint64_t number = 0; ///< Copied to the reply.
+  std::string attempt;      ///< May be empty if the client named none.
+  std::string service;
+};
+
+struct StreamOriginReply
+{
+  std::uint64_t number = 0;
+  OriginKnowledge knowledge;
+};
+
 /** Requests the peer's registry of backend servers. */
 struct RegistryRequest
 {};
--- a/core/gateway/replica_choice.cpp
+++ b/core/gateway/replica_choice.cpp
@@ -121,8 +121,11 @@
   std::optional<ChosenReplica> best;
   double bestCost = std::numeric_limits<double>::max();
   for (const BackendPtr& candidate : aCandidates) {
-    if (std::ranges::find(aCriteria.excluded, candidate->id) !=
-        aCriteria.excluded.end()) {
+    const bool isExcluded =
+      std::ranges::find(aCriteria.excluded, candidate->id) !=
+      aCriteria.excluded.end();
+    if (isExcluded ||
+        (aCriteria.version && candidate->version != *aCriteria.version)) {
       continue;
     }
     const std::uint64_t cachedTokens =
--- a/core/gateway/replica_choice.h
+++ b/core/gateway/replica_choice.h
@@ -41,6 +41,8 @@
   /** Service time of an idle server, for requests without a prompt. */
   Duration plainServiceTime = std::chrono::milliseconds(50);
   std::span<const std::string> excluded; ///< Ids already tried.
+  /** The only software version to choose from; empty for any. */
+  std::optional<std::string_view> version;
 };
 
 /** The chosen backend server and the figures behind the choice. */
--- /dev/null
+++ b/core/gateway/service_versions.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/gateway/backend_registry.h"
+#include "core/time.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gypsum {
+
+/** Software versions of each service that the registry has listed lately. */
+class ServiceVersions
+{
+public:
+  /** How long a version counts after it was last listed: longer than clients
+   * wait for a stream. */
+  static constexpr Duration kWindow = std::chrono::seconds(30);
+
+  /** Takes in the listed versions; call before and after each change. */
+  void Observe(const RegistrySnapshot& aRegistry, Instant aNow);
+  /** Versions of a service listed within the window. */
+  std::vector<std::string> Recent(std::string_view aService,
+                                  Instant aNow) const;
+  /** Whether the registry has been followed for the whole window. */
+  bool CoversWindow(Instant aNow) const;
+
+private:
+  struct Version
+  {
+    std::string service;
+    std::string version;
+    auto operator<=>(const Version&) const = default;
+  };
+
+  std::map<Version, Instant> lastListedAt_;
+  Instant observedSince_ = Instant::max();
+};
+
+} // namespace gypsum
--- a/core/messages.h
+++ b/core/messages.h
@@ -174,7 +174,10 @@
                               PieceReply,
                               PieceCancel,
                               PieceFree,
-                              PromptSent>;
+                              PromptSent,
+                              StreamOriginNotice,
+                              StreamOriginRequest,
+                              StreamOriginReply>;
 
 /** A message between two processes. */
 struct PeerMessage
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -217,6 +217,42 @@
   to.set_tokens(aFrom.tokens);
 }
 
+void Fill(proto::StreamOrigin& aTo, const ExpiringOrigin& aFrom)
+{
+  aTo.set_attempt(aFrom.origin.attempt);
+  aTo.set_service(aFrom.origin.service);
+  aTo.set_version(aFrom.origin.version);
+  aTo.set_expires_in_us(aFrom.expiresIn.count());
+}
+
+void FillBody(proto::Envelope& aTo, const StreamOriginNotice& aFrom)
+{
+  proto::StreamOriginNotice& to = *aTo.mutable_stream_origin_notice();
+  for (const ExpiringOrigin& origin : aFrom.origins) {
+    Fill(*to.add_origins(), origin);
+  }
+}
+
+void FillBody(proto::Envelope& aTo, const StreamOriginRequest& aFrom)
+{
+  proto::StreamOriginRequest& to = *aTo.mutable_stream_origin_request();
+  to.set_number(aFrom.number);
+  to.set_attempt(aFrom.attempt);
+  to.set_service(aFrom.service);
+}
+
+void FillBody(proto::Envelope& aTo, const StreamOriginReply& aFrom)
+{
+  proto::StreamOriginReply& to = *aTo.mutable_stream_origin_reply();
+  to.set_number(aFrom.number);
+  if (aFrom.knowledge.origin) {
+    Fill(*to.mutable_origin(), *aFrom.knowledge.origin);
+  }
+  to.mutable_versions()->Add(aFrom.knowledge.versions.begin(),
+                             aFrom.knowledge.versions.end());
+  to.set_is_version_list_complete(aFrom.knowledge.isVersionListComplete);
+}
+
 void FillBody(proto::Envelope& aTo, const PieceCancel& aFrom)
 {
   proto::PieceCancel& to = *aTo.mutable_piece_cancel();
@@ -482,6 +518,33 @@
   return request;
 }
 
+ExpiringOrigin Read(const proto::StreamOrigin& aFrom)
+{
+  return { { aFrom.attempt(), aFrom.service(), aFrom.version() },
+           Duration(aFrom.expires_in_us()) };
+}
+
+StreamOriginNotice Read(const proto::StreamOriginNotice& aFrom)
+{
+  StreamOriginNotice notice;
+  for (const proto::StreamOrigin& origin : aFrom.origins()) {
+    notice.origins.push_back(Read(origin));
+  }
+  return notice;
+}
+
+StreamOriginReply Read(const proto::StreamOriginReply& aFrom)
+{
+  StreamOriginReply reply;
+  reply.number = aFrom.number();
+  if (aFrom.has_origin()) {
+    reply.knowledge.origin = Read(aFrom.origin());
+  }
+  reply.knowledge.versions = ToStrings(aFrom.versions());
+  reply.knowledge.isVersionListComplete = aFrom.is_version_list_complete();
+  return reply;
+}
+
 std::optional<PeerBody> Read(const proto::PieceReply& aFrom)
 {
   if (aFrom.failure() > static_cast<std::uint32_t>(PieceFailure::None)) {
@@ -536,6 +599,14 @@
     case proto::Envelope::kPromptSent:
       return PromptSent{ aFrom.prompt_sent().backend(),
                          aFrom.prompt_sent().tokens() };
+    case proto::Envelope::kStreamOriginNotice:
+      return Read(aFrom.stream_origin_notice());
+    case proto::Envelope::kStreamOriginRequest:
+      return StreamOriginRequest{ aFrom.stream_origin_request().number(),
+                                  aFrom.stream_origin_request().attempt(),
+                                  aFrom.stream_origin_request().service() };
+    case proto::Envelope::kStreamOriginReply:
+      return Read(aFrom.stream_origin_reply());
     case proto::Envelope::BODY_NOT_SET:
       break;
   }
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/error_kind.h"
+#include "core/gateway/resume_policy.h"
 #include "core/gateway/route_table.h"
 #include "core/gateway/stage_plan.h"
 #include "core/time.h"
@@ -8,6 +9,7 @@
 #include "platform/client_request.h"
 #include "servers/gateway/cancellation_token.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,10 +30,20 @@
   Instant responseDeadline{};  ///< Latest end of the response.
   std::string expectedZone; ///< Zone of the expected replica; empty if unknown.
   Duration expectedFirstEvent{}; ///< From the send to the first event.
+  Instant resumableUntil{};  ///< The client no longer resumes the stream then.
+  ResumeTarget resumeTarget; ///< Set if the client resumes a stream.
   std::uint32_t priority = 0;
   StagePlan plan{ {}, {} };
   CancellationToken cancellation;
 
+  /** The only software version that may serve it; empty for any. */
+  std::optional<std::string_view> RequiredVersion() const
+  {
+    return resumeTarget.source == OriginSource::Unknown
+             ? std::nullopt
+             : std::optional<std::string_view>(resumeTarget.version);
+  }
+
   std::string_view CustomerName() const
   {
     return customer ? std::string_view(customer->name) : std::string_view();
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -56,8 +56,9 @@
   , platformState_(state_)
   , peers_(state_, platformState_)
   , pieces_(state_, peers_)
+  , origins_(state_, peers_)
   , store_(state_, platformState_, [this] { return peers_.IsStoreReader(); })
-  , requests_(state_, peers_, pieces_)
+  , requests_(state_, peers_, pieces_, origins_)
   , reload_(std::move(aReload))
   , clientListener_(loop_,
                     aSettings.clientAddress,
@@ -84,7 +85,9 @@
   }
   peers_.SetHandler(
     [this](Route aRoute, const PeerHeader& aHeader, PeerBody aBody) {
-      pieces_.OnPeerMessage(std::move(aRoute), aHeader, std::move(aBody));
+      if (!origins_.OnPeerMessage(aRoute, aHeader, aBody)) {
+        pieces_.OnPeerMessage(std::move(aRoute), aHeader, std::move(aBody));
+      }
     });
   peers_.SetQueueWaitProvider([this] { return pieces_.LocalQueueWaits(); });
 }
@@ -255,6 +258,7 @@
     const Instant now = Now().steady;
     maxLoopDelay_ = std::max(maxLoopDelay_, Duration(now - due));
     platformState_.Expire();
+    origins_.RemoveExpired();
     state_.pool.CloseExpired(now);
     state_.log.Flush();
     if (round % kRoundsPerSettingsCheck == 0) {
@@ -286,6 +290,7 @@
                      { { "busy", clientListener_.BusyCount() },
                        { "connections", clientListener_.Connections() } });
     peers_.SendStatusNow();
+    origins_.HandOver();
     asio::co_spawn(loop_, Drain(), asio::detached);
   }
 }
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -54,6 +54,7 @@
   PlatformState platformState_;
   PeerExchange peers_;
   PieceService pieces_;
+  StreamOriginService origins_;
   StoreFollower store_;
   RequestHandler requests_;
   Reload reload_;
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "core/gateway/gateway_settings.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/route_table.h"
+#include "core/gateway/service_versions.h"
 #include "core/identity.h"
 #include "drivers/edge/backend_pool.h"
 #include "drivers/event_log.h"
@@ -43,6 +44,7 @@
   RouteTablePtr routes;          ///< Null until a configuration is known.
   std::string configurationText; ///< As published; sent to peers on request.
   BackendRegistry registry;
+  ServiceVersions versions;
   BackendLoads loads;
   PrefixCacheIndex prefixes;
   GatewayRetryBudget retryBudget;
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -134,12 +134,7 @@
 std::vector<std::string> PeerExchange::RoundTargets()
 {
   const Instant now = Now().steady;
-  std::vector<std::string> live;
-  for (const auto& [address, peer] : peers_) {
-    if (IsLive(peer, now)) {
-      live.push_back(address);
-    }
-  }
+  std::vector<std::string> live = LivePeers(LeavingPeers::Include);
   std::ranges::shuffle(live, random_);
   if (live.size() > kFanOut) {
     live.resize(kFanOut);
@@ -169,13 +164,7 @@
 
 void PeerExchange::NotifyPromptSent(const PromptSent& aPrompt)
 {
-  const Instant now = Now().steady;
-  std::vector<std::string> targets;
-  for (const auto& [address, peer] : peers_) {
-    if (IsLive(peer, now)) {
-      targets.push_back(address);
-    }
-  }
+  std::vector<std::string> targets = LivePeers(LeavingPeers::Include);
   if (targets.size() > kMaxPromptTargets) {
     std::ranges::shuffle(targets, random_);
     targets.resize(kMaxPromptTargets);
@@ -383,6 +372,20 @@
   return wait == waits.end() ? Duration{} : wait->wait;
 }
 
+std::vector<std::string> PeerExchange::LivePeers(LeavingPeers aLeaving) const
+{
+  const Instant now = Now().steady;
+  std::vector<std::string> live;
+  for (const auto& [address, peer] : peers_) {
+    const bool isExcluded =
+      aLeaving == LeavingPeers::Exclude && peer.status.isLeaving;
+    if (IsLive(peer, now) && !isExcluded) {
+      live.push_back(address);
+    }
+  }
+  return live;
+}
+
 std::size_t PeerExchange::LiveGateways() const
 {
   const Instant now = Now().steady;
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -17,6 +17,13 @@
 
 namespace gypsum {
 
+/** Whether a list of peers has those that are stopping. */
+enum class LeavingPeers
+{
+  Include,
+  Exclude,
+};
+
 /**
  * Exchanges state with the other gateways: periodic status messages, and the
  * configuration and registry for gateways without access to the store.
@@ -66,6 +73,8 @@
                                       std::uint32_t aPriority) const;
   /** Whether this gateway is one of those that read the store. */
   bool IsStoreReader() const;
+  /** Addresses of the live peers. */
+  std::vector<std::string> LivePeers(LeavingPeers aLeaving) const;
   /** Number of live gateways, including this one. */
   std::size_t LiveGateways() const;
 
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -68,15 +68,24 @@
 void PlatformState::ApplyBackends(std::span<const RegistryChange> aChanges,
                                   std::string_view aSource)
 {
+  ObserveVersions();
   for (const RegistryChange& change : aChanges) {
     OnRegistryEvents(state_.registry.Apply(change, Now().steady), aSource);
   }
+  ObserveVersions();
 }
 
 void PlatformState::ReplaceBackends(const RegistrySnapshot& aSnapshot,
                                     std::string_view aSource)
 {
+  ObserveVersions();
   OnRegistryEvents(state_.registry.Replace(aSnapshot, Now().steady), aSource);
+  ObserveVersions();
+}
+
+void PlatformState::ObserveVersions()
+{
+  state_.versions.Observe(state_.registry.Snapshot(), Now().steady);
 }
 
 void PlatformState::OnStoreCallSucceeded()
@@ -112,6 +121,7 @@
 {
   OnRegistryEvents(state_.registry.Expire(Now().steady), "store");
   const RegistrySnapshot snapshot = state_.registry.Snapshot();
+  state_.versions.Observe(snapshot, Now().steady);
   std::vector<std::string_view> known;
   for (const RegistryChange& entry : snapshot.entries) {
     known.push_back(entry.id);
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -38,6 +38,7 @@
   void Expire();
 
 private:
+  void ObserveVersions();
   void OnRegistryEvents(std::span<const RegistryEvent> aEvents,
                         std::string_view aSource);
 
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -43,6 +43,8 @@
 constexpr Duration kShutdownAcceptTime = std::chrono::milliseconds(2'500);
 /** Retry-After while this gateway stops; another gateway can serve at once. */
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+/** Added to the time that a client waits, for messages under way. */
+constexpr Duration kResumeMargin = std::chrono::seconds(2);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 /** Limits that apply until the first configuration has been read. */
 const ClientLimits kInitialLimits;
@@ -65,10 +67,12 @@
 
 RequestHandler::RequestHandler(GatewayState& aState,
                                PeerExchange& aPeers,
-                               PieceService& aPieces)
+                               PieceService& aPieces,
+                               StreamOriginService& aOrigins)
   : state_(aState)
   , peers_(aPeers)
   , pieces_(aPieces)
+  , origins_(aOrigins)
 {
 }
 
@@ -115,6 +119,14 @@
     co_await Refuse(attempt, ErrorKind::Stopping, kStoppingRetryAfter);
     co_return;
   }
+  if (attempt.parameters.IsResume() &&
+      attempt.route->repeatability == Repeatability::ResumableStream) {
+    if (const auto kind = co_await FindResumeTarget(attempt)) {
+      co_await Refuse(attempt, *kind, Duration{});
+      co_return;
+    }
+  }
+  EstimateReplica(attempt);
   if (const auto retryAfter = CheckDeadline(attempt)) {
     co_await Refuse(attempt, ErrorKind::DeadlineTooShort, *retryAfter);
     co_return;
@@ -131,7 +143,7 @@
       co_return;
     }
   }
-  SendLoop sends(state_, peers_, pieces_, attempt);
+  SendLoop sends(state_, peers_, pieces_, origins_, attempt);
   co_await sends.Run();
   aClient->StopWatching();
   pieces_.Release(attempt.plan.TakeAll());
@@ -175,6 +187,9 @@
       aAttempt.responseDeadline,
       aAttempt.arrivedAt + *aAttempt.parameters.timeLeft - kClientMargin);
   }
+  aAttempt.resumableUntil =
+    aAttempt.arrivedAt + kResumeMargin +
+    std::max(route.timeout, aAttempt.parameters.timeLeft.value_or(Duration{}));
   aAttempt.firstPartDeadline = aAttempt.responseDeadline;
   if (IsStream(route.repeatability)) {
     const Duration clientTimeout = std::max(
@@ -185,22 +200,56 @@
   }
   aAttempt.priority = UrgencyRank(route, aAttempt.customer);
   aAttempt.plan = StagePlan(route.stages, aAttempt.parameters.pieces);
-  if (aAttempt.service->engine && aAttempt.plan.HasWork()) {
-    ChoiceCriteria criteria;
-    criteria.zone = state_.settings.zone;
-    criteria.prompt = &aAttempt.parameters.prompt;
-    criteria.prefixes = &state_.prefixes;
-    const auto choice =
-      ChooseReplica(state_.registry.Usable(aAttempt.service->name),
-                    criteria,
-                    state_.loads,
-                    aAttempt.arrivedAt);
-    aAttempt.expectedZone = choice ? choice->backend->zone : "";
-    aAttempt.expectedFirstEvent = choice ? choice->expected : Duration{};
-  }
   return std::nullopt;
 }
 
+asio::awaitable<std::optional<ErrorKind>> RequestHandler::FindResumeTarget(
+  Attempt& aAttempt)
+{
+  const RouteSpec& route = *aAttempt.route;
+  aAttempt.resumeTarget = co_await origins_.Find(
+    aAttempt.parameters.resumedAttempt, aAttempt.service->name);
+  const ResumeTarget& target = aAttempt.resumeTarget;
+  if (target.source == OriginSource::Unknown) {
+    co_return ErrorKind::OriginUnknown;
+  }
+  const bool isOnRoute =
+    std::ranges::find(route.targets, target.service, &RouteTarget::service) !=
+    route.targets.end();
+  const BackendServiceSpec* const service =
+    aAttempt.routeTable->FindService(target.service);
+  const bool isServed =
+    std::ranges::find(state_.registry.Usable(target.service),
+                      target.version,
+                      [](const BackendPtr& aBackend) -> const std::string& {
+                        return aBackend->version;
+                      }) != state_.registry.Usable(target.service).end();
+  if (!isOnRoute || !service || !isServed) {
+    co_return ErrorKind::VersionGone;
+  }
+  aAttempt.service = service;
+  co_return std::nullopt;
+}
+
+void RequestHandler::EstimateReplica(Attempt& aAttempt) const
+{
+  if (!aAttempt.service->engine || !aAttempt.plan.HasWork()) {
+    return;
+  }
+  ChoiceCriteria criteria;
+  criteria.zone = state_.settings.zone;
+  criteria.prompt = &aAttempt.parameters.prompt;
+  criteria.prefixes = &state_.prefixes;
+  criteria.version = aAttempt.RequiredVersion();
+  const auto choice =
+    ChooseReplica(state_.registry.Usable(aAttempt.service->name),
+                  criteria,
+                  state_.loads,
+                  aAttempt.arrivedAt);
+  aAttempt.expectedZone = choice ? choice->backend->zone : "";
+  aAttempt.expectedFirstEvent = choice ? choice->expected : Duration{};
+}
+
 StageTime RequestHandler::TypicalStageTimeOf(const Attempt& aAttempt,
                                              std::uint32_t aStage) const
 {
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -4,6 +4,7 @@
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
+#include "servers/gateway/stream_origin_service.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,7 +19,8 @@
 public:
   RequestHandler(GatewayState& aState,
                  PeerExchange& aPeers,
-                 PieceService& aPieces);
+                 PieceService& aPieces,
+                 StreamOriginService& aOrigins);
 
   /** Serves one client connection until it ends. */
   boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
@@ -27,6 +29,12 @@
   boost::asio::awaitable<void> HandleRequest(ClientConnectionPtr aClient);
   /** Fills in the attempt; returns the error if the request is refused. */
   std::optional<ErrorKind> Admit(Attempt& aAttempt);
+  /** Finds the software that began the stream that the client resumes; returns
+   * the error if the stream can't go on there. */
+  boost::asio::awaitable<std::optional<ErrorKind>> FindResumeTarget(
+    Attempt& aAttempt);
+  /** Estimates which model replica will serve the attempt, and when. */
+  void EstimateReplica(Attempt& aAttempt) const;
   /** Returns the time for `Retry-After` if the stages would end too late. */
   std::optional<Duration> CheckDeadline(const Attempt& aAttempt) const;
   /** Expected time until the queues of the remaining stages are empty. */
@@ -56,6 +64,7 @@
   GatewayState& state_;
   PeerExchange& peers_;
   PieceService& pieces_;
+  StreamOriginService& origins_;
 };
 
 } // namespace gypsum
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -60,10 +60,12 @@
 SendLoop::SendLoop(GatewayState& aState,
                    PeerExchange& aPeers,
                    PieceService& aPieces,
+                   StreamOriginService& aOrigins,
                    Attempt& aAttempt)
   : state_(aState)
   , peers_(aPeers)
   , pieces_(aPieces)
+  , origins_(aOrigins)
   , attempt_(aAttempt)
   , fetchTimer_(aState.loop)
 {
@@ -75,6 +77,7 @@
   ChoiceCriteria criteria;
   criteria.zone = state_.settings.zone;
   criteria.excluded = triedReplicas_;
+  criteria.version = attempt_.RequiredVersion();
   if (service.engine) {
     criteria.prompt = &attempt_.parameters.prompt;
     criteria.prefixes = &state_.prefixes;
@@ -441,6 +444,7 @@
       ReportFirstPart();
       if (!hasResponseBegun_) {
         hasResponseBegun_ = true;
+        StoreOrigin();
         timeToFirstPart_ = Now().steady - attempt_.arrivedAt;
         state_.metrics.RecordFirstPart(attempt_.route->name, timeToFirstPart_);
         co_await attempt_.client->BeginStream(clientHead);
@@ -512,6 +516,21 @@
   RecordOutcome(ErrorResponseOf(kind).name, status);
 }
 
+void SendLoop::StoreOrigin()
+{
+  if (attempt_.route->repeatability != Repeatability::ResumableStream ||
+      attempt_.RequiredVersion()) {
+    return;
+  }
+  const BackendRecord& backend = *currentReplica_->backend;
+  attempt_.resumeTarget = { OriginSource::Record,
+                            backend.service,
+                            backend.version };
+  origins_.OnStreamBegun(
+    { { attempt_.parameters.id, backend.service, backend.version },
+      attempt_.resumableUntil - Now().steady });
+}
+
 void SendLoop::StoreResponseEnd(const BackendExchange& aExchange)
 {
   responseEnd_ = { NameOf(aExchange.Framing()),
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -9,6 +9,7 @@
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
+#include "servers/gateway/stream_origin_service.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -36,6 +37,7 @@
   SendLoop(GatewayState& aState,
            PeerExchange& aPeers,
            PieceService& aPieces,
+           StreamOriginService& aOrigins,
            Attempt& aAttempt);
 
   boost::asio::awaitable<void> Run();
@@ -84,6 +86,8 @@
   void ReportFirstPart();
   /** Releases the results of the stages once the replica has fetched them. */
   void ReleaseInputsAfterFetch(const ChosenReplica& aChoice);
+  /** From its first event on, a stream goes on only at this version. */
+  void StoreOrigin();
   void StoreResponseEnd(const BackendExchange& aExchange);
   /** Writes the outcome to metrics and log. */
   void RecordOutcome(std::string_view aOutcome, unsigned aStatus);
@@ -91,6 +95,7 @@
   GatewayState& state_;
   PeerExchange& peers_;
   PieceService& pieces_;
+  StreamOriginService& origins_;
   Attempt& attempt_;
   std::vector<std::string> triedReplicas_;
   std::uint32_t sendCount_ = 0;   ///< Sends in which some byte was sent.
--- /dev/null
+++ b/servers/gateway/stream_origin_service.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/gateway/resume_policy.h"
+#include "core/gateway/stream_origins.h"
+#include "core/messages.h"
+#include "servers/gateway/gateway_state.h"
+#include "servers/gateway/peer_exchange.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gypsum {
+
+/**
+ * Remembers, together with the other gateways, which software version began
+ * each stream that a client may resume.
+ *
+ * An origin is copied to some peers when the first event arrives, and to others
+ * when this gateway stops. A client may resume at any gateway, which asks all.
+ */
+class StreamOriginService
+{
+public:
+  StreamOriginService(GatewayState& aState, PeerExchange& aPeers);
+
+  /** Stores the origin of a stream and copies it to peers. */
+  void OnStreamBegun(ExpiringOrigin aOrigin);
+  /** Finds out where a stream that a client resumes may go on. The attempt that
+   * began it may be empty. */
+  boost::asio::awaitable<ResumeTarget> Find(std::string aAttempt,
+                                            std::string aService);
+  /** Returns false if the message is not about origins. */
+  bool OnPeerMessage(const Route& aRoute,
+                     const PeerHeader& aHeader,
+                     PeerBody& aBody);
+  /** Copies all origins to peers; call when this gateway begins to stop. */
+  void HandOver();
+  /** Removes expired origins; call it now and then. */
+  void RemoveExpired();
+
+private:
+  /** A question to the peers that waits for replies. */
+  struct Lookup
+  {
+    explicit Lookup(boost::asio::io_context& aLoop)
+      : changed(aLoop)
+    {
+    }
+    boost::asio::steady_timer changed;
+    std::vector<OriginKnowledge> knowledge;
+    std::size_t missingReplies = 0;
+    bool hasRecord = false;
+  };
+
+  OriginKnowledge LocalKnowledge(std::string_view aAttempt,
+                                 std::string_view aService) const;
+  void Store(ExpiringOrigin aOrigin);
+  /** Sends origins to the peers that hashing selects for a key. */
+  void Copy(std::string_view aKey, const StreamOriginNotice& aNotice);
+
+  GatewayState& state_;
+  PeerExchange& peers_;
+  StreamOrigins origins_;
+  std::map<std::uint64_t, std::shared_ptr<Lookup>> lookups_;
+  std::uint64_t lastLookup_ = 0;
+};
+
+} // namespace gypsum
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -91,6 +91,36 @@
   CHECK(list.entries[1].isUnreadable);
 }
 
+TEST_CASE("[PeerCodec] the origins of streams are transferred unchanged")
+{
+  const ExpiringOrigin origin{ { "a1", "model", "v1.2" }, Duration(9'000) };
+  const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
+  const auto notice =
+    Decode(Encode({ header, StreamOriginNotice{ { origin } } }));
+  REQUIRE(notice);
+  CHECK(std::get<StreamOriginNotice>(notice->body).origins ==
+        std::vector{ origin });
+  const auto request =
+    Decode(Encode({ header, StreamOriginRequest{ 5, "a1", "model" } }));
+  REQUIRE(request);
+  CHECK(std::get<StreamOriginRequest>(request->body).number == 5);
+  CHECK(std::get<StreamOriginRequest>(request->body).attempt == "a1");
+  CHECK(std::get<StreamOriginRequest>(request->body).service == "model");
+  for (const OriginKnowledge& knowledge :
+       { OriginKnowledge{ origin, { "v1", "v1.2" }, true },
+         OriginKnowledge{ std::nullopt, {}, false } }) {
+    const auto reply =
+      Decode(Encode({ header, StreamOriginReply{ 5, knowledge } }));
+    REQUIRE(reply);
+    const auto& copy = std::get<StreamOriginReply>(reply->body);
+    CHECK(copy.number == 5);
+    CHECK(copy.knowledge.origin == knowledge.origin);
+    CHECK(copy.knowledge.versions == knowledge.versions);
+    CHECK(copy.knowledge.isVersionListComplete ==
+          knowledge.isVersionListComplete);
+  }
+}
+
 TEST_CASE("[PeerCodec] a fleet update is transferred unchanged")
 {
   FleetUpdate update;
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -255,6 +255,20 @@
     R"("inputs":["10.0.0.1:1/x"]}]})");
 }
 
+TEST_CASE("[Platform] a client's resume names the attempt and the last event")
+{
+  CHECK_FALSE(DecodeClientAttempt(ClientRequest()).IsResume());
+  WireRequest resume = ClientRequest();
+  resume.set("Last-Event-Id", "17");
+  CHECK(DecodeClientAttempt(resume).IsResume());
+  resume.set("Resumes", "9c40");
+  const ClientAttempt attempt = DecodeClientAttempt(resume);
+  CHECK(attempt.resumedAttempt == "9c40");
+  CHECK(attempt.lastEvent == "17");
+  const WireRequest sent = ToBackendRequest(resume, {});
+  CHECK(sent["Last-Event-Id"] == "17");
+}
+
 TEST_CASE("[Platform] piece results are accepted only if they match the call")
 {
   const auto results = DecodePieceResults(
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -296,4 +296,26 @@
   CHECK(cache.CachedTokens("r", prefixOf(5)) == 100);
 }
 
+TEST_CASE_FIXTURE(ChoiceFixture,
+                  "[ReplicaChoice] with a required software version, no server "
+                  "of another one is chosen, however cheap")
+{
+  BackendRecord other = *backends[4];
+  other.version = "v2";
+  backends[4] = std::make_shared<const BackendRecord>(other);
+  CachePrefixes("r0", prompt);
+  ChoiceCriteria criteria;
+  criteria.zone = "a";
+  criteria.prompt = &prompt;
+  criteria.prefixes = &prefixes;
+  CHECK(ChooseReplica(backends, criteria, loads, now)->backend->id == "r0");
+  criteria.version = "v2";
+  CHECK(ChooseReplica(backends, criteria, loads, now)->backend->id == "r4");
+  const std::array<std::string, 1> tried{ "r4" };
+  criteria.excluded = tried;
+  CHECK_FALSE(ChooseReplica(backends, criteria, loads, now));
+  criteria.version = "v3";
+  CHECK_FALSE(ChooseReplica(backends, criteria, loads, now));
+}
+
 } // namespace gypsum::tests
