Bound the age of a stream that nobody remembers

Cause: a stream that no gateway remembered was refused until a single version had served for 30 s, though only the time since it can have begun matters. Change: a client waits for the route's timeout over all attempts, so that what is left of its time bounds the stream's age; the versions listed since then count, for this gateway and for those it asks.

--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -54,8 +54,7 @@
 struct StreamOriginRequest
 {
   std::uint64_t number = 0; ///< Copied to the reply.
-  std::string attempt;      ///< May be empty if the client named none.
-  std::string service;
+  ResumeQuestion question;
 };
 
 struct StreamOriginReply
--- a/core/gateway/resume_policy.h
+++ b/core/gateway/resume_policy.h
@@ -14,12 +14,21 @@
 struct OriginKnowledge
 {
   std::optional<ExpiringOrigin> origin;
-  /** Versions of the service that it has lately seen in the registry. */
+  /** Versions of the service that the registry has listed since the stream can
+   * have begun. */
   std::vector<std::string> versions;
-  /** Whether no other version can have begun a stream of that age. */
+  /** Whether no other version can have begun it. */
   bool isVersionListComplete = false;
 };
 
+/** A stream that a client resumes, as far as the request tells. */
+struct ResumeQuestion
+{
+  std::string attempt; ///< That began the stream; may be empty.
+  std::string service;
+  Duration maxAge{}; ///< The stream began at most this long ago.
+};
+
 /** How the origin of a stream was found. */
 enum class OriginSource
 {
--- a/core/gateway/service_versions.cpp
+++ b/core/gateway/service_versions.cpp
@@ -13,25 +13,25 @@
     }
   }
   std::erase_if(lastListedAt_, [&](const auto& aItem) {
-    return aItem.second + kWindow < aNow;
+    return aItem.second + kMemory < aNow;
   });
 }
 
-std::vector<std::string> ServiceVersions::Recent(std::string_view aService,
-                                                 Instant aNow) const
+std::vector<std::string> ServiceVersions::ListedSince(std::string_view aService,
+                                                      Instant aThen) const
 {
   std::vector<std::string> versions;
   for (const auto& [version, listedAt] : lastListedAt_) {
-    if (version.service == aService && listedAt + kWindow >= aNow) {
+    if (version.service == aService && listedAt >= aThen) {
       versions.push_back(version.version);
     }
   }
   return versions;
 }
 
-bool ServiceVersions::CoversWindow(Instant aNow) const
+bool ServiceVersions::Covers(Instant aThen, Instant aNow) const
 {
-  return observedSince_ != Instant::max() && observedSince_ + kWindow <= aNow;
+  return observedSince_ <= aThen && aNow - aThen <= kMemory;
 }
 
 } // namespace gypsum
--- a/core/gateway/service_versions.h
+++ b/core/gateway/service_versions.h
@@ -14,17 +14,17 @@
 class ServiceVersions
 {
 public:
-  /** How long a version counts after it was last listed: longer than clients
-   * wait for a stream. */
-  static constexpr Duration kWindow = std::chrono::seconds(30);
+  /** How long a version is remembered after it was last listed: longer than
+   * clients wait for a stream. */
+  static constexpr Duration kMemory = std::chrono::seconds(60);
 
   /** Takes in the listed versions; call before and after each change. */
   void Observe(const RegistrySnapshot& aRegistry, Instant aNow);
-  /** Versions of a service listed within the window. */
-  std::vector<std::string> Recent(std::string_view aService,
-                                  Instant aNow) const;
-  /** Whether the registry has been followed for the whole window. */
-  bool CoversWindow(Instant aNow) const;
+  /** Versions of a service that were listed at some time since then. */
+  std::vector<std::string> ListedSince(std::string_view aService,
+                                       Instant aThen) const;
+  /** Whether the registry has been followed, and is remembered, since then. */
+  bool Covers(Instant aThen, Instant aNow) const;
 
 private:
   struct Version
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -237,8 +237,9 @@
 {
   proto::StreamOriginRequest& to = *aTo.mutable_stream_origin_request();
   to.set_number(aFrom.number);
-  to.set_attempt(aFrom.attempt);
-  to.set_service(aFrom.service);
+  to.set_attempt(aFrom.question.attempt);
+  to.set_service(aFrom.question.service);
+  to.set_max_age_us(aFrom.question.maxAge.count());
 }
 
 void FillBody(proto::Envelope& aTo, const StreamOriginReply& aFrom)
@@ -533,6 +534,12 @@
   return notice;
 }
 
+StreamOriginRequest Read(const proto::StreamOriginRequest& aFrom)
+{
+  return { aFrom.number(),
+           { aFrom.attempt(), aFrom.service(), Duration(aFrom.max_age_us()) } };
+}
+
 StreamOriginReply Read(const proto::StreamOriginReply& aFrom)
 {
   StreamOriginReply reply;
@@ -602,9 +609,7 @@
     case proto::Envelope::kStreamOriginNotice:
       return Read(aFrom.stream_origin_notice());
     case proto::Envelope::kStreamOriginRequest:
-      return StreamOriginRequest{ aFrom.stream_origin_request().number(),
-                                  aFrom.stream_origin_request().attempt(),
-                                  aFrom.stream_origin_request().service() };
+      return Read(aFrom.stream_origin_request());
     case proto::Envelope::kStreamOriginReply:
       return Read(aFrom.stream_origin_reply());
     case proto::Envelope::BODY_NOT_SET:
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -207,8 +207,16 @@
   Attempt& aAttempt)
 {
   const RouteSpec& route = *aAttempt.route;
-  aAttempt.resumeTarget = co_await origins_.Find(
-    aAttempt.parameters.resumedAttempt, aAttempt.service->name);
+  // Clients wait for the timeout of the route, over all of their attempts.
+  const Duration elapsed =
+    std::max(Duration{},
+             route.timeout - aAttempt.parameters.timeLeft.value_or(Duration{}));
+  // A named object, because GCC 12 destroys aggregate arguments of an awaited
+  // call twice.
+  ResumeQuestion question{ aAttempt.parameters.resumedAttempt,
+                           aAttempt.service->name,
+                           elapsed + kResumeMargin };
+  aAttempt.resumeTarget = co_await origins_.Find(std::move(question));
   const ResumeTarget& target = aAttempt.resumeTarget;
   if (target.source == OriginSource::Unknown) {
     co_return ErrorKind::OriginUnknown;
--- a/servers/gateway/stream_origin_service.cpp
+++ b/servers/gateway/stream_origin_service.cpp
@@ -78,21 +78,21 @@
 }
 
 OriginKnowledge StreamOriginService::LocalKnowledge(
-  std::string_view aAttempt,
-  std::string_view aService) const
+  const ResumeQuestion& aQuestion) const
 {
   const Instant now = Now().steady;
-  return { origins_.Find(aAttempt, now),
-           state_.versions.Recent(aService, now),
-           state_.versions.CoversWindow(now) };
+  const Instant earliest = now - aQuestion.maxAge;
+  return { origins_.Find(aQuestion.attempt, now),
+           state_.versions.ListedSince(aQuestion.service, earliest),
+           state_.versions.Covers(earliest, now) };
 }
 
-asio::awaitable<ResumeTarget> StreamOriginService::Find(std::string aAttempt,
-                                                        std::string aService)
+asio::awaitable<ResumeTarget> StreamOriginService::Find(
+  ResumeQuestion aQuestion)
 {
   const Instant begin = Now().steady;
   auto lookup = std::make_shared<Lookup>(state_.loop);
-  lookup->knowledge.push_back(LocalKnowledge(aAttempt, aService));
+  lookup->knowledge.push_back(LocalKnowledge(aQuestion));
   lookup->hasRecord = lookup->knowledge.front().origin.has_value();
   std::size_t asked = 0;
   if (!lookup->hasRecord) {
@@ -102,7 +102,7 @@
     asked = peers.size();
     lookup->missingReplies = asked;
     for (const std::string& peer : peers) {
-      peers_.SendTo(peer, StreamOriginRequest{ number, aAttempt, aService });
+      peers_.SendTo(peer, StreamOriginRequest{ number, aQuestion });
     }
     lookup->changed.expires_at(begin + kReplyTimeout);
     if (lookup->missingReplies > 0) {
@@ -112,12 +112,14 @@
     }
     lookups_.erase(number);
   }
-  const ResumeTarget target = ResolveOrigin(lookup->knowledge, aService);
+  const ResumeTarget target =
+    ResolveOrigin(lookup->knowledge, aQuestion.service);
   state_.metrics.Count("stream_resumes", "origin", NameOf(target.source));
   state_.log.Write(target.source == OriginSource::Unknown ? LogClass::Failure
                                                           : LogClass::Normal,
                    "stream-origin",
-                   { { "resumes", aAttempt },
+                   { { "resumes", aQuestion.attempt },
+                     { "max-age", aQuestion.maxAge },
                      { "origin", NameOf(target.source) },
                      { "service", target.service },
                      { "software", target.version },
@@ -141,8 +143,7 @@
     peers_.SendBack(
       aRoute,
       aHeader.sender.incarnation,
-      StreamOriginReply{ request->number,
-                         LocalKnowledge(request->attempt, request->service) });
+      StreamOriginReply{ request->number, LocalKnowledge(request->question) });
     return true;
   }
   auto* const reply = std::get_if<StreamOriginReply>(&aBody);
--- a/servers/gateway/stream_origin_service.h
+++ b/servers/gateway/stream_origin_service.h
@@ -33,10 +33,8 @@
 
   /** Stores the origin of a stream and copies it to peers. */
   void OnStreamBegun(ExpiringOrigin aOrigin);
-  /** Finds out where a stream that a client resumes may go on. The attempt that
-   * began it may be empty. */
-  boost::asio::awaitable<ResumeTarget> Find(std::string aAttempt,
-                                            std::string aService);
+  /** Finds out where a stream that a client resumes may go on. */
+  boost::asio::awaitable<ResumeTarget> Find(ResumeQuestion aQuestion);
   /** Returns false if the message is not about origins. */
   bool OnPeerMessage(const Route& aRoute,
                      const PeerHeader& aHeader,
@@ -60,8 +58,7 @@
     bool hasRecord = false;
   };
 
-  OriginKnowledge LocalKnowledge(std::string_view aAttempt,
-                                 std::string_view aService) const;
+  OriginKnowledge LocalKnowledge(const ResumeQuestion& aQuestion) const;
   void Store(ExpiringOrigin aOrigin);
   /** Sends origins to the peers that hashing selects for a key. */
   void Copy(std::string_view aKey, const StreamOriginNotice& aNotice);
--- a/tests/cell/test_gateway_process.cpp
+++ b/tests/cell/test_gateway_process.cpp
@@ -375,6 +375,19 @@
   CHECK(cell.ExecutionsOf(resume.attemptId).empty());
 }
 
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a stream that nobody remembers goes on once a "
+                  "single version has served since it can have begun")
+{
+  CHECK(WaitUntil([&] {
+    CellRequest resume = cell.MakeStreamRequest("/long/x");
+    resume.headers = { { "Last-Event-Id", "3" } };
+    const CellResponse response = Send(resume);
+    return response.isComplete && response.status == 200 &&
+           LastEventOf(response.body) == "8";
+  }));
+}
+
 TEST_CASE_FIXTURE(CellFixture,
                   "[Gateway] a killed gateway resets a stream whose end only "
                   "the connection marks")
