Give the soak several versions, unframed responses and resumes

Change: half of the model replicas have another version; truncated responses have a length, chunks or neither, drawn apart so that older seeds keep their schedule; clients take up broken streams at any gateway. A stream of two versions is a violation, and the report counts how many resumes went on.

--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -247,8 +247,8 @@
   const int truncatedEvent =
     event +
     static_cast<int>(random_() % static_cast<unsigned>(kEventsPerStream));
-  const auto textOf = [&](int aEvent) {
-    return StreamEvent(version_, aEvent, attemptId);
+  const auto textOf = [&, version = version_](int aEvent) {
+    return StreamEvent(version, aEvent, attemptId);
   };
   std::size_t bodyBytes = 0;
   for (int later = event; later <= kEventsPerStream; ++later) {
--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -5,8 +5,10 @@
 #include "tests/support/wait.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fstream>
+#include <optional>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -51,6 +53,7 @@
 
 Soak::Soak(std::uint64_t aSeed, CellSize aSize, seconds aFaultDuration)
   : random_(aSeed)
+  , framingRandom_(aSeed)
   , cell_(aSize, aSeed)
   , faultDuration_(aFaultDuration)
 {
@@ -107,12 +110,32 @@
   return soakRequest;
 }
 
+SoakRequest Soak::MakeResume(const SoakRequest& aBroken,
+                             std::mt19937_64& aRandom)
+{
+  const std::lock_guard lock(mutex_);
+  SoakRequest resume;
+  resume.request = cell_.MakeStreamRequest(aBroken.request.path);
+  resume.request.prompt = aBroken.request.prompt;
+  resume.request.apiKey = aBroken.request.apiKey;
+  resume.isStream = true;
+  resume.gateway = aRandom() % cell_.Gateways().size();
+  resume.begunBody = aBroken.response.body;
+  const std::string last = LastEventOf(resume.begunBody);
+  resume.firstEvent = std::stoi(last) + 1;
+  resume.request.headers = { { "Resumes", aBroken.request.attemptId },
+                             { "Last-Event-Id", last } };
+  return resume;
+}
+
 void Soak::ClientLoop(std::uint64_t aSeed)
 {
   std::mt19937_64 random(aSeed);
   std::map<std::size_t, std::unique_ptr<CellClient>> clients;
+  std::optional<SoakRequest> resume;
   while (!isFinished_) {
-    SoakRequest request = DrawRequest(random);
+    SoakRequest request =
+      resume ? *std::exchange(resume, {}) : DrawRequest(random);
     auto& client = clients[request.gateway];
     if (!client || random() % 10 == 0) {
       client = std::make_unique<CellClient>(
@@ -123,6 +146,13 @@
     } else {
       request.response = client->Send(request.request);
     }
+    const bool isBroken = request.request.path == "/long/x" &&
+                          request.begunBody.empty() &&
+                          !request.response.isComplete &&
+                          !LastEventOf(request.response.body).empty();
+    if (isBroken) {
+      resume = MakeResume(request, random);
+    }
     {
       const std::lock_guard lock(mutex_);
       requests_.push_back(std::move(request));
@@ -131,6 +161,14 @@
   }
 }
 
+std::optional<BodyFraming> Soak::DrawFraming()
+{
+  constexpr std::array<std::optional<BodyFraming>, 3> kFramings{
+    std::nullopt, BodyFraming::Length, BodyFraming::ConnectionEnd
+  };
+  return kFramings[framingRandom_() % kFramings.size()];
+}
+
 void Soak::InjectFault()
 {
   const auto pickFrom = [&](auto& aGroup) -> auto&
@@ -178,8 +216,10 @@
                [&](CellFaults& aFaults) { aFaults.loseResponse = chance; });
       break;
     case 7:
-      setFault("replica-truncates",
-               [&](CellFaults& aFaults) { aFaults.truncate = chance; });
+      setFault("replica-truncates", [&](CellFaults& aFaults) {
+        aFaults.truncate = chance;
+        aFaults.framing = DrawFraming();
+      });
       break;
     case 8:
       setFault("replica-unresponsive",
@@ -271,6 +311,15 @@
 
 SoakReport Soak::Run()
 {
+  cell_.Run([&] {
+    // Half of the replicas of a service have another software version.
+    auto& replicas = cell_.ModelReplicas();
+    const auto half = static_cast<std::ptrdiff_t>(replicas.size() / 2);
+    std::for_each(replicas.begin() + half, replicas.end(), [](auto& aReplica) {
+      aReplica->SetVersion("v2");
+      aReplica->Register();
+    });
+  });
   if (!cell_.Start()) {
     report_.violations.emplace_back("a gateway did not become ready");
     return report_;
@@ -367,20 +416,29 @@
                             })) {
       RecordViolation("replica got a longer deadline than remained", request);
     }
+    if (VersionsOf(request.begunBody + response.body).size() > 1) {
+      RecordViolation("stream joined from two versions", request);
+    }
+    report_.resumes += request.begunBody.empty() ? 0 : 1;
     if (response.status != 200) {
       continue;
     }
+    report_.continuedResumes +=
+      !request.begunBody.empty() && response.isComplete ? 1 : 0;
     if (response.isComplete && !response.replicaSeal.ends_with(attemptId)) {
       RecordViolation("response without the seal of its attempt", request);
     }
-    const bool isComplete = request.isStream
-                              ? IsCompleteStream(response.body, attemptId)
-                              : response.body == "result of " + attemptId;
+    const bool isComplete =
+      request.isStream
+        ? IsCompleteStream(response.body, attemptId, request.firstEvent)
+        : response.body == "result of " + attemptId;
     if (response.isComplete && !isComplete) {
       RecordViolation("complete response of another request", request);
     }
     const std::string expectedPrefix =
-      request.isStream ? "id: 1\ndata: " + attemptId : "result of " + attemptId;
+      request.isStream
+        ? "id: " + std::to_string(request.firstEvent) + "\ndata: " + attemptId
+        : "result of " + attemptId;
     if (!response.isComplete && !response.body.empty() &&
         !expectedPrefix.starts_with(
           WithoutVersions(response.body).substr(0, expectedPrefix.size()))) {
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <mutex>
 #include <random>
 #include <string>
@@ -22,6 +23,8 @@
   bool isStream = false;
   bool isAtMostOnce = false; ///< Must not be executed twice.
   bool disconnectsEarly = false;
+  std::string begunBody; ///< Of the stream that this request takes up.
+  int firstEvent = 1;    ///< First event that is due.
 };
 
 /** Result of a soak run. */
@@ -33,6 +36,8 @@
   std::map<unsigned, int> statuses;
   std::size_t requests = 0;
   std::size_t executions = 0;
+  std::size_t resumes = 0;          ///< Streams that clients took up again.
+  std::size_t continuedResumes = 0; ///< Of these, those that went on.
 };
 
 /**
@@ -52,7 +57,11 @@
 private:
   void ClientLoop(std::uint64_t aSeed);
   SoakRequest DrawRequest(std::mt19937_64& aRandom);
+  /** A request that takes up a broken stream, at any gateway. */
+  SoakRequest MakeResume(const SoakRequest& aBroken, std::mt19937_64& aRandom);
   void FaultLoop();
+  /** The framing of truncated responses; empty for the usual one. */
+  std::optional<BodyFraming> DrawFraming();
   void InjectFault();
   void ClearFaults();
   void RecordFault(const std::string& aFault);
@@ -64,6 +73,7 @@
   void RecordViolation(const std::string& aRule, const SoakRequest& aRequest);
 
   std::mt19937_64 random_;
+  std::mt19937_64 framingRandom_; ///< Keeps the schedule of older seeds.
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
--- a/tests/cell/soak_main.cpp
+++ b/tests/cell/soak_main.cpp
@@ -19,7 +19,8 @@
   gypsum::tests::Soak soak(aSeed, aSize, std::chrono::seconds(aSeconds));
   const auto report = soak.Run();
   std::cout << "seed " << aSeed << ": " << report.requests << " requests, "
-            << report.executions << " executions,";
+            << report.executions << " executions, " << report.continuedResumes
+            << " of " << report.resumes << " resumes went on,";
   for (const auto& [status, count] : report.statuses) {
     std::cout << " " << status << ":" << count;
   }
--- a/tests/cell/stream_check.h
+++ b/tests/cell/stream_check.h
@@ -57,12 +57,14 @@
   return aBody.substr(begin, aBody.find('\n', begin) - begin);
 }
 
-/** Whether a body has all events of an attempt, each once and in order. */
+/** Whether a body has all events of an attempt, each once and in order, from
+ * the first that is due. */
 inline bool IsCompleteStream(const std::string& aBody,
-                             const std::string& aAttemptId)
+                             const std::string& aAttemptId,
+                             int aFirstEvent = 1)
 {
   std::string expected;
-  for (int event = 1; event <= kEventsPerStream; ++event) {
+  for (int event = aFirstEvent; event <= kEventsPerStream; ++event) {
     expected += "id: " + std::to_string(event) + "\ndata: " + aAttemptId + " " +
                 std::to_string(event) + "\n\n";
   }
