Let a starting gateway learn its peers before it refuses a resume

Change: within 1 s of its start a lookup waits for peers and asks each that appears; else the time limit for replies stays at 250 ms.

--- a/servers/gateway/stream_origin_service.cpp
+++ b/servers/gateway/stream_origin_service.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t kCopies = 4;
 /** Replies take one round trip, and some tens of ms at a busy gateway. */
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
+/** Time from the start of a gateway until it knows its peers: two rounds of
+ * status messages, and a connection that is set up meanwhile. */
+constexpr Duration kDiscoveryTime = std::chrono::milliseconds(1'000);
+constexpr Duration kDiscoveryPollInterval = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -27,6 +31,7 @@
                                          PeerExchange& aPeers)
   : state_(aState)
   , peers_(aPeers)
+  , startedAt_(Now().steady)
 {
 }
 
@@ -87,43 +92,54 @@
            state_.versions.Covers(earliest, now) };
 }
 
+void StreamOriginService::AskPeers(std::uint64_t aNumber, Lookup& aLookup)
+{
+  for (const std::string& peer : peers_.LivePeers(LeavingPeers::Include)) {
+    if (aLookup.asked.insert(peer).second) {
+      ++aLookup.missingReplies;
+      peers_.SendTo(peer, StreamOriginRequest{ aNumber, aLookup.question });
+    }
+  }
+}
+
 asio::awaitable<ResumeTarget> StreamOriginService::Find(
   ResumeQuestion aQuestion)
 {
   const Instant begin = Now().steady;
+  // A gateway that has just started doesn't know all of its peers yet.
+  const Instant discoveredAt = startedAt_ + kDiscoveryTime;
+  const Instant deadline = std::max(begin + kReplyTimeout, discoveredAt);
+  const std::uint64_t number = ++lastLookup_;
   auto lookup = std::make_shared<Lookup>(state_.loop);
-  lookup->knowledge.push_back(LocalKnowledge(aQuestion));
+  lookup->question = std::move(aQuestion);
+  const ResumeQuestion& question = lookup->question;
+  lookup->knowledge.push_back(LocalKnowledge(question));
   lookup->hasRecord = lookup->knowledge.front().origin.has_value();
-  std::size_t asked = 0;
-  if (!lookup->hasRecord) {
-    const std::uint64_t number = ++lastLookup_;
-    lookups_[number] = lookup;
-    const auto peers = peers_.LivePeers(LeavingPeers::Include);
-    asked = peers.size();
-    lookup->missingReplies = asked;
-    for (const std::string& peer : peers) {
-      peers_.SendTo(peer, StreamOriginRequest{ number, aQuestion });
-    }
-    lookup->changed.expires_at(begin + kReplyTimeout);
-    if (lookup->missingReplies > 0) {
-      boost::system::error_code ignored;
-      co_await lookup->changed.async_wait(
-        asio::redirect_error(asio::use_awaitable, ignored));
+  lookups_[number] = lookup;
+  while (!lookup->hasRecord && Now().steady < deadline) {
+    AskPeers(number, *lookup);
+    if (lookup->missingReplies == 0 && Now().steady >= discoveredAt) {
+      break;
     }
-    lookups_.erase(number);
+    lookup->changed.expires_at(
+      std::min(deadline, Now().steady + kDiscoveryPollInterval));
+    boost::system::error_code ignored;
+    co_await lookup->changed.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
   }
+  lookups_.erase(number);
   const ResumeTarget target =
-    ResolveOrigin(lookup->knowledge, aQuestion.service);
+    ResolveOrigin(lookup->knowledge, question.service);
   state_.metrics.Count("stream_resumes", "origin", NameOf(target.source));
   state_.log.Write(target.source == OriginSource::Unknown ? LogClass::Failure
                                                           : LogClass::Normal,
                    "stream-origin",
-                   { { "resumes", aQuestion.attempt },
-                     { "max-age", aQuestion.maxAge },
+                   { { "resumes", question.attempt },
+                     { "max-age", question.maxAge },
                      { "origin", NameOf(target.source) },
                      { "service", target.service },
                      { "software", target.version },
-                     { "asked", asked },
+                     { "asked", lookup->asked.size() },
                      { "silent", lookup->missingReplies },
                      { "took", Now().steady - begin } });
   co_return target;
--- a/servers/gateway/stream_origin_service.h
+++ b/servers/gateway/stream_origin_service.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -53,11 +54,15 @@
     {
     }
     boost::asio::steady_timer changed;
+    ResumeQuestion question;
     std::vector<OriginKnowledge> knowledge;
+    std::set<std::string> asked;
     std::size_t missingReplies = 0;
     bool hasRecord = false;
   };
 
+  /** Asks the live peers that have not been asked for this lookup. */
+  void AskPeers(std::uint64_t aNumber, Lookup& aLookup);
   OriginKnowledge LocalKnowledge(const ResumeQuestion& aQuestion) const;
   void Store(ExpiringOrigin aOrigin);
   /** Sends origins to the peers that hashing selects for a key. */
@@ -68,6 +73,7 @@
   StreamOrigins origins_;
   std::map<std::uint64_t, std::shared_ptr<Lookup>> lookups_;
   std::uint64_t lastLookup_ = 0;
+  Instant startedAt_;
 };
 
 } // namespace gypsum
--- a/tests/cell/test_gateway_process.cpp
+++ b/tests/cell/test_gateway_process.cpp
@@ -363,6 +363,43 @@
   CHECK(wentOn > 0);
 }
 
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a stream that its client resumes at a gateway "
+                  "that has just started goes on")
+{
+  UseTwoVersions();
+  CellGateway& gateway = cell.Gateways()[0];
+  const CellGateway& peer = cell.Gateways()[1];
+  const auto setTruncate = [&](double aChance) {
+    SetFaults(cell.ModelReplicas(),
+              [&](CellFaults& aFaults) { aFaults.truncate = aChance; });
+  };
+  // Streams of v1 only: there, a second replica can go on.
+  cell.Run([&] { cell.ModelReplicas()[2]->Faults().refuse = 1.0; });
+  CHECK(WaitUntil([&] {
+    setTruncate(1.0);
+    const CellRequest first = cell.MakeStreamRequest("/long/x");
+    const CellResponse begun = Send(first, 1);
+    setTruncate(0.0);
+    if (LastEventOf(begun.body).empty()) {
+      return false;
+    }
+    // The peer is paused until the request has arrived, so that the gateway
+    // doesn't know it yet.
+    peer.process->Signal(SIGSTOP);
+    gateway.process.reset();
+    cell.StartGateway(gateway);
+    const bool isReady = cell.WaitUntilReady(gateway);
+    auto running =
+      std::async(std::launch::async, [&] { return Resume(first, begun, 0); });
+    std::this_thread::sleep_for(milliseconds(100));
+    peer.process->Signal(SIGCONT);
+    const CellResponse rest = running.get();
+    return isReady && rest.isComplete && rest.status == 200 &&
+           VersionsOf(begun.body + rest.body) == std::set<std::string>{ "v1" };
+  }));
+}
+
 TEST_CASE_FIXTURE(CellFixture,
                   "[Gateway] a stream that nobody remembers is refused while "
                   "two versions serve, and is not executed")
