Say when an attempt has a resume target

Cause: the comment named only the client's resume; the target is set with the first event too. Change: the comment alone. Measured: the formatter is clean; nothing else was run.

--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -31,7 +31,7 @@
   std::string expectedZone; ///< Zone of the expected replica; empty if unknown.
   Duration expectedFirstEvent{}; ///< From the send to the first event.
   Instant resumableUntil{};  ///< The client no longer resumes the stream then.
-  ResumeTarget resumeTarget; ///< Set if the client resumes a stream.
+  ResumeTarget resumeTarget; ///< Set from the first event or a resume on.
   std::uint32_t priority = 0;
   StagePlan plan{ {}, {} };
   CancellationToken cancellation;
