Log the shared parts of a prompt and the events of a failed send

Cause: a crash that one part of a prompt brings about, one that follows from load, and a request that was merely cut beside it look the same in the logs.

--- a/core/gateway/replica_choice.cpp
+++ b/core/gateway/replica_choice.cpp
@@ -92,12 +92,9 @@
 std::vector<PromptPrefix> PromptSpec::SharedPrefixes() const
 {
   std::vector<PromptPrefix> prefixes;
-  if (parts.size() < 2) {
-    return prefixes;
-  }
   std::string chain;
   std::uint64_t sum = 0;
-  for (const PromptPart& part : std::span(parts).first(parts.size() - 1)) {
+  for (const PromptPart& part : SharedParts()) {
     chain.append(part.id).push_back(',');
     sum += part.tokens;
     prefixes.push_back({ Checksum(chain), std::min(sum, tokens) });
--- a/core/gateway/replica_choice.h
+++ b/core/gateway/replica_choice.h
@@ -26,6 +26,11 @@
   std::vector<PromptPart> parts;
   std::uint64_t tokens = 0; ///< Tokens of the whole prompt.
 
+  /** The parts that other requests may share: all but the last. */
+  std::span<const PromptPart> SharedParts() const
+  {
+    return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1);
+  }
   /** The prefixes that other requests may share, shortest first. */
   std::vector<PromptPrefix> SharedPrefixes() const;
 };
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -46,6 +46,9 @@
 constexpr unsigned kMinUrgencyRank = 2;
 constexpr unsigned kMaxUrgencyRank = 9;
 
+/** Shared parts of a prompt that are named in a log line. */
+constexpr std::size_t kMaxLoggedParts = 8;
+
 std::string JoinWithCommas(const std::vector<std::string>& aTexts)
 {
   std::string joined;
@@ -55,6 +58,15 @@
   return joined;
 }
 
+std::string NamesOfParts(std::span<const PromptPart> aParts)
+{
+  std::vector<std::string> names;
+  std::ranges::transform(aParts.first(std::min(aParts.size(), kMaxLoggedParts)),
+                         std::back_inserter(names),
+                         &PromptPart::id);
+  return JoinWithCommas(names);
+}
+
 } // namespace
 
 SendLoop::SendLoop(GatewayState& aState,
@@ -167,6 +179,7 @@
     currentReplica_ = &*choice;
     uncachedTokens_ = choice->uncachedTokens;
     isFirstPartReported_ = false;
+    eventsBeforeSend_ = splitter_.Events();
     sentAt_ = now;
     responseEnd_ = {};
     state_.loads.OnSent(
@@ -208,6 +221,7 @@
         { "after", Now().steady - now },
         { "expected", choice->expected },
         { "running", static_cast<std::uint64_t>(choice->running) },
+        { "events", splitter_.Events() - eventsBeforeSend_ },
         { "framing", responseEnd_.framing },
         { "connection", responseEnd_.connection },
         { "partial", responseEnd_.partialBytes },
@@ -259,6 +273,7 @@
     { { "id", attempt_.parameters.id },
       { "backend", backend.id },
       { "software", backend.version },
+      { "parts", NamesOfParts(attempt_.parameters.prompt.SharedParts()) },
       { "resumes", attempt_.parameters.resumedAttempt },
       { "after", splitter_.LastId().value_or(attempt_.parameters.lastEvent) },
       { "expected", aChoice.expected },
@@ -424,7 +439,6 @@
   const EdgeResponse clientHead{ aHead.status,
                                  FieldsForClient(aExchange.GetHead()),
                                  "" };
-  const std::uint64_t eventsBefore = splitter_.Events();
   for (;;) {
     const BodyPart part = co_await aExchange.ReadSome(
       isFirstPartReported_ ? NextEventDeadline()
@@ -435,7 +449,7 @@
       part.isEnd &&
       !IsComplete({ aExchange.Framing() != BodyFraming::ConnectionEnd,
                     splitter_.IsInsideEvent(),
-                    splitter_.Events() - eventsBefore });
+                    splitter_.Events() - eventsBeforeSend_ });
     if (part.isEnd && !isBrokenOff) {
       events.append(splitter_.TakePartial());
     }
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -106,7 +106,8 @@
   ResponseEnd responseEnd_;
   Instant sentAt_{};
   Instant lastEventAt_{};
-  Duration timeToFirstPart_{};                    ///< Zero if none arrived.
+  std::uint64_t eventsBeforeSend_ = 0; ///< Complete events of earlier sends.
+  Duration timeToFirstPart_{};         ///< Zero if none arrived.
   const ChosenReplica* currentReplica_ = nullptr; ///< Null between sends.
   std::uint64_t uncachedTokens_ = 0;           ///< Zero after the first part.
   std::optional<EdgeResponse> backendFailure_; ///< From a backend server.
