--- a/drivers/edge/edge_listener.cpp
+++ b/drivers/edge/edge_listener.cpp
@@ -99,6 +99,11 @@
   }
 }
 
+void EdgeListener::AbortAll()
+{
+  std::ranges::for_each(connections_, &ClientConnection::Abort);
+}
+
 std::size_t EdgeListener::BusyCount() const
 {
   return static_cast<std::size_t>(
--- a/drivers/edge/edge_listener.h
+++ b/drivers/edge/edge_listener.h
@@ -35,6 +35,8 @@
   void StopAccepting();
   /** Closes the connections that are between requests. */
   void CloseIdle();
+  /** Resets all connections, as the end of the process would. */
+  void AbortAll();
   std::size_t Connections() const { return connections_.size(); }
   /** Number of connections with a request that is being read or handled. */
   std::size_t BusyCount() const;
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+bool HasSharedPart(const std::string& aPrompt, const std::string& aPart)
+{
+  const std::string shared = aPrompt.substr(0, aPrompt.rfind(',') + 1);
+  return !aPart.empty() &&
+         ("," + shared).find("," + aPart + ":") != std::string::npos;
+}
+
 CellReplica::CellReplica(CellLoop& aLoop,
                          CellStore& aStore,
                          std::vector<CellExecution>& aExecutions,
@@ -49,13 +56,18 @@
   , id_(std::move(aId))
   , service_(std::move(aService))
   , address_(std::move(aAddress))
-  , listener_(
-      loop_,
-      address_,
-      [this](ClientConnectionPtr aClient) { return Serve(std::move(aClient)); })
   , random_(aSeed)
 {
-  listener_.Start();
+  Listen();
+}
+
+void CellReplica::Listen()
+{
+  listeners_.push_back(std::make_unique<EdgeListener>(
+    loop_, address_, [this](ClientConnectionPtr aClient) {
+      return Serve(std::move(aClient));
+    }));
+  listeners_.back()->Start();
 }
 
 bool CellReplica::DrawFault(double aChance)
@@ -101,6 +113,30 @@
   PublishEntry("ready");
 }
 
+void CellReplica::Crash(milliseconds aDownTime)
+{
+  if (isDown_) {
+    return;
+  }
+  isDown_ = true;
+  crashes_.push_back(Now().steady);
+  listeners_.back()->StopAccepting();
+  listeners_.back()->AbortAll();
+  auto timer = std::make_shared<asio::steady_timer>(loop_, aDownTime);
+  timer->async_wait([this, timer](boost::system::error_code aError) {
+    if (!aError) {
+      isDown_ = false;
+      Listen();
+      Restart();
+    }
+  });
+}
+
+bool CellReplica::IsCrashedBy(const ClientConnection& aClient) const
+{
+  return HasSharedPart(Header(aClient, "Prompt-Prefix"), crash_.part);
+}
+
 asio::awaitable<void> CellReplica::Sleep(milliseconds aTime)
 {
   asio::steady_timer timer(
@@ -140,6 +176,7 @@
   execution.replica = id_;
   execution.version = version_;
   execution.customer = Header(aClient, "Tenant");
+  execution.prompt = Header(aClient, "Prompt-Prefix");
   execution.path = std::string(target.data(), target.size());
   execution.deadlineMs = std::atoll(Header(aClient, "Deadline-Ms").c_str());
   execution.isResumed = !Header(aClient, "Last-Event-Id").empty();
@@ -257,11 +294,16 @@
   CellResponseWriter writer(
     aClient, faults_.framing.value_or(BodyFraming::Chunks), faults_.cut);
   bool isOpen = co_await writer.WriteHead(head, bodyBytes);
+  const int lastEventBeforeCrash = event - 1 + crash_.events;
   for (; isOpen && event <= kEventsPerStream; ++event) {
     co_await Sleep(kEventInterval);
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
+    if (event > lastEventBeforeCrash && IsCrashedBy(aClient)) {
+      Crash(crash_.downTime);
+      co_return false;
+    }
     const std::string text = textOf(event);
     if (isTruncated && event >= truncatedEvent) {
       co_await writer.WriteBody(
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -5,6 +5,7 @@
 #include "tests/cell/cell_response_writer.h"
 #include "tests/cell/cell_store.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,12 +25,24 @@
   std::string replica;
   std::string customer;
   std::string path;
+  std::string prompt;  ///< Parts of the prompt; empty without one.
   std::string version; ///< Software version of the replica.
   std::int64_t deadlineMs = 0;
   bool isResumed = false;
   Instant at{};
 };
 
+/** A part of prompts that ends a replica which begins to respond to it. */
+struct CellCrash
+{
+  std::string part; ///< Empty: no part does.
+  int events = 0;   ///< Events that are sent before the end.
+  std::chrono::milliseconds downTime{ 1'500 };
+};
+
+/** Whether a prompt has this part, other than as its last one. */
+bool HasSharedPart(const std::string& aPrompt, const std::string& aPart);
+
 /** Injected faults of a replica; a `double` is a probability per request. */
 struct CellFaults
 {
@@ -78,6 +91,12 @@
   void SetVersion(std::string aVersion) { version_ = std::move(aVersion); }
   /** Starts a new incarnation under the same id, without any results. */
   void Restart();
+  /** Resets all connections, refuses new ones for some time, then restarts. */
+  void Crash(std::chrono::milliseconds aDownTime);
+  /** Unlike `Faults`, it is kept until it is set again. */
+  void SetCrash(CellCrash aCrash) { crash_ = std::move(aCrash); }
+  /** Times of all crashes so far. */
+  const std::vector<Instant>& Crashes() const { return crashes_; }
   CellFaults& Faults() { return faults_; }
   /** Highest number of batch calls that ran at the same time. */
   std::uint32_t MaxConcurrentCalls() const { return maxConcurrentCalls_; }
@@ -117,8 +136,15 @@
   std::string address_;
   std::string registeredAddress_;
   std::string version_ = "v1";
-  EdgeListener listener_;
+  void Listen();
+  bool IsCrashedBy(const ClientConnection& aClient) const;
+
+  /** The last one listens; those before keep the connections that they had. */
+  std::vector<std::unique_ptr<EdgeListener>> listeners_;
   CellFaults faults_;
+  CellCrash crash_;
+  std::vector<Instant> crashes_;
+  bool isDown_ = false;
   std::mt19937_64 random_;
   std::uint64_t incarnation_ = 1;
   std::uint64_t seq_ = 0;
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -40,6 +40,8 @@
                                    O_CREAT | O_WRONLY | O_APPEND,
                                    kLogMode);
   posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  // An inherited socket would stay open when the test closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int code =
     posix_spawn(&id_, aProgram.c_str(), &actions, nullptr, raw.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
