Find a restarted gateway by the messages to its predecessor

Cause: peers knew a restarted gateway under its old incarnation, so that it dropped their status messages; a gateway that is the only seed heard of nobody for up to 10 s. It sent requests with a part that crashes servers meanwhile. Change: a status for the predecessor makes its sender a candidate and is answered; a peer with a new incarnation gets a status at once.

--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -245,6 +245,9 @@
   if (!isForThisProcess ||
       header.sender.incarnation == state_.self.incarnation) {
     state_.metrics.Count("peer_messages_dropped", "", "");
+    if (const auto* const status = std::get_if<GatewayStatus>(&aMessage.body)) {
+      OnStatusForPredecessor(header, *status);
+    }
     return;
   }
   // Any message shows that the sender is alive, even if this gateway is not a
@@ -291,6 +294,19 @@
   }
 }
 
+void PeerExchange::OnStatusForPredecessor(const PeerHeader& aHeader,
+                                          const GatewayStatus& aStatus)
+{
+  const bool isKnown = peers_.contains(aStatus.address) ||
+                       candidates_.contains(aStatus.address) ||
+                       aHeader.sender.incarnation == state_.self.incarnation;
+  if (isKnown) {
+    return;
+  }
+  candidates_[aStatus.address] = Now().steady + kCandidateTimeout;
+  SendTo(aStatus.address, OwnStatus());
+}
+
 void PeerExchange::OnStatus(const PeerHeader& aHeader, GatewayStatus aStatus)
 {
   const Instant now = Now().steady;
@@ -318,6 +334,10 @@
     state_.prefixes.OnPeerRead(read, now);
   }
   peer.status = std::move(aStatus);
+  if (isNew) {
+    // It may have just started, and know nothing.
+    SendTo(peer.status.address, OwnStatus());
+  }
   if (crashDigestHandler_) {
     crashDigestHandler_(peer.status.address, peer.status.crashDigest);
   }
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -111,6 +111,9 @@
   boost::asio::awaitable<void> RoundLoop();
   void Receive(Route aRoute, PeerMessage aMessage);
   void OnStatus(const PeerHeader& aHeader, GatewayStatus aStatus);
+  /** Makes itself known to a peer that still knows the process before this. */
+  void OnStatusForPredecessor(const PeerHeader& aHeader,
+                              const GatewayStatus& aStatus);
   void RequestMissingUpdates();
   bool IsLive(const Peer& aPeer, Instant aNow) const;
   Duration SilenceTimeout() const;
--- a/tests/cell/test_crashing_prompt.cpp
+++ b/tests/cell/test_crashing_prompt.cpp
@@ -133,6 +133,26 @@
   CHECK(served * 2 >= sent);
 }
 
+TEST_CASE_FIXTURE(CrashingPromptFixture,
+                  "[CrashingPrompt] a part that crashes servers is known to "
+                  "gateways that restart one by one")
+{
+  SetCrash({ kGuiltyPart });
+  StartClients("bad0:20,", kGuiltyInterval, false);
+  REQUIRE(WaitUntil([&] { return Crashes().size() >= 3; }));
+  std::this_thread::sleep_for(seconds(2));
+  const std::size_t before = Crashes().size();
+  for (std::size_t gateway = 0; gateway < cell.Gateways().size(); ++gateway) {
+    RestartGateway(gateway);
+    REQUIRE(cell.WaitUntilReady(cell.Gateways()[gateway]));
+    std::this_thread::sleep_for(seconds(2));
+  }
+  Stop();
+  // Until its first peer has told it, a new gateway sends as if nothing were.
+  CHECK(Crashes().size() <= before + cell.Gateways().size());
+  CHECK(LateSends() <= kMaxLateSends);
+}
+
 TEST_CASE_FIXTURE(CrashingPromptFixture,
                   "[CrashingPrompt] after a restart of all gateways a part is "
                   "known again after few crashes")
