Log the limits that backend servers name

Cause: no log line names a limit, so that a gateway which does not know it and one that keeps it as if it were alone look the same. Change: platform/ decodes the limit of a response, core/gateway/backend_limits keeps the last word of each incarnation, backend-limit logs its changes. Result: built; no decision reads it yet.

--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -55,11 +55,12 @@
   : state_(loop_, aSettings, MakeProcessId(aSettings), aLog)
   , platformState_(state_)
   , peers_(state_, platformState_)
-  , pieces_(state_, peers_)
+  , limits_(state_)
+  , pieces_(state_, peers_, limits_)
   , origins_(state_, peers_)
   , crashes_(state_, peers_)
   , store_(state_, platformState_, [this] { return peers_.IsStoreReader(); })
-  , requests_(state_, peers_, pieces_, origins_, crashes_)
+  , requests_(state_, peers_, pieces_, origins_, crashes_, limits_)
   , reload_(std::move(aReload))
   , clientListener_(loop_,
                     aSettings.clientAddress,
@@ -272,6 +273,7 @@
     platformState_.Expire();
     origins_.RemoveExpired();
     crashes_.Expire();
+    limits_.Expire();
     state_.pool.CloseExpired(now);
     state_.log.Flush();
     if (round % kRoundsPerSettingsCheck == 0) {
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -4,6 +4,7 @@
 #include "drivers/edge/edge_listener.h"
 #include "servers/gateway/crash_service.h"
 #include "servers/gateway/gateway_state.h"
+#include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
 #include "servers/gateway/platform_state.h"
@@ -54,6 +55,7 @@
   GatewayState state_;
   PlatformState platformState_;
   PeerExchange peers_;
+  LimitService limits_;
   PieceService pieces_;
   StreamOriginService origins_;
   CrashService crashes_;
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/backend_limits.h"
 #include "core/gateway/backend_loads.h"
 #include "core/gateway/backend_registry.h"
 #include "core/gateway/gateway_retry_budget.h"
@@ -46,6 +47,7 @@
   BackendRegistry registry;
   ServiceVersions versions;
   BackendLoads loads;
+  BackendLimits limits;
   PrefixCacheIndex prefixes;
   GatewayRetryBudget retryBudget;
   BackendPool pool;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -32,9 +32,12 @@
 
 } // namespace
 
-PieceService::PieceService(GatewayState& aState, PeerExchange& aPeers)
+PieceService::PieceService(GatewayState& aState,
+                           PeerExchange& aPeers,
+                           LimitService& aLimits)
   : state_(aState)
   , peers_(aPeers)
+  , limits_(aLimits)
 {
 }
 
@@ -271,6 +274,7 @@
   }
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
+  limits_.OnResponse(*aBatch.backend, head.limit);
   const BodyPart body =
     co_await exchange.ReadRest(aBatch.abandonAt, kMaxResponseBytes);
   if (body.state != ExchangeState::Ok) {
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -5,6 +5,7 @@
 #include "core/gateway/stage_plan.h"
 #include "servers/gateway/cancellation_token.h"
 #include "servers/gateway/gateway_state.h"
+#include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -30,7 +31,9 @@
 class PieceService
 {
 public:
-  PieceService(GatewayState& aState, PeerExchange& aPeers);
+  PieceService(GatewayState& aState,
+               PeerExchange& aPeers,
+               LimitService& aLimits);
 
   void Start();
   /** Computes the pieces of a job; returns their handles or the failure. */
@@ -105,6 +108,7 @@
 
   GatewayState& state_;
   PeerExchange& peers_;
+  LimitService& limits_;
   std::map<std::string, std::unique_ptr<Queue>, std::less<>> queues_;
   std::map<std::uint64_t, std::shared_ptr<PendingJob>> pendingJobs_;
   std::map<PieceJobId, Requester> requesters_;
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -82,12 +82,14 @@
                                PeerExchange& aPeers,
                                PieceService& aPieces,
                                StreamOriginService& aOrigins,
-                               CrashService& aCrashes)
+                               CrashService& aCrashes,
+                               LimitService& aLimits)
   : state_(aState)
   , peers_(aPeers)
   , pieces_(aPieces)
   , origins_(aOrigins)
   , crashes_(aCrashes)
+  , limits_(aLimits)
 {
 }
 
@@ -166,7 +168,7 @@
       co_return;
     }
   }
-  SendLoop sends(state_, peers_, pieces_, origins_, crashes_, attempt);
+  SendLoop sends(state_, peers_, pieces_, origins_, crashes_, limits_, attempt);
   co_await sends.Run();
   aClient->StopWatching();
   pieces_.Release(attempt.plan.TakeAll());
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -21,7 +21,8 @@
                  PeerExchange& aPeers,
                  PieceService& aPieces,
                  StreamOriginService& aOrigins,
-                 CrashService& aCrashes);
+                 CrashService& aCrashes,
+                 LimitService& aLimits);
 
   /** Serves one client connection until it ends. */
   boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
@@ -67,6 +68,7 @@
   PieceService& pieces_;
   StreamOriginService& origins_;
   CrashService& crashes_;
+  LimitService& limits_;
 };
 
 } // namespace gypsum
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -77,12 +77,14 @@
                    PieceService& aPieces,
                    StreamOriginService& aOrigins,
                    CrashService& aCrashes,
+                   LimitService& aLimits,
                    Attempt& aAttempt)
   : state_(aState)
   , peers_(aPeers)
   , pieces_(aPieces)
   , origins_(aOrigins)
   , crashes_(aCrashes)
+  , limits_(aLimits)
   , attempt_(aAttempt)
   , fetchTimer_(aState.loop)
 {
@@ -360,6 +362,7 @@
         SendFailure::Lost, SendOutcome::Failed, "other-attempt", true
       };
     }
+    limits_.OnResponse(*aChoice.backend, head.limit);
     if (head.isNotExecuted) {
       const BodyPart rest =
         co_await aExchange.ReadRest(attempt_.responseDeadline, kMaxBodyBytes);
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -8,6 +8,7 @@
 #include "servers/gateway/attempt.h"
 #include "servers/gateway/crash_service.h"
 #include "servers/gateway/gateway_state.h"
+#include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
 #include "servers/gateway/stream_origin_service.h"
@@ -40,6 +41,7 @@
            PieceService& aPieces,
            StreamOriginService& aOrigins,
            CrashService& aCrashes,
+           LimitService& aLimits,
            Attempt& aAttempt);
 
   boost::asio::awaitable<void> Run();
@@ -104,6 +106,7 @@
   PieceService& pieces_;
   StreamOriginService& origins_;
   CrashService& crashes_;
+  LimitService& limits_;
   Attempt& attempt_;
   std::vector<std::string> triedReplicas_;
   std::vector<std::string> excludedVersions_;
