--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -154,17 +154,26 @@
   response.fields.set("Attempt-Id", Header(aClient, "Attempt-Id"));
   response.fields.set("Replica-Seal",
                       id_ + "." + Header(aClient, "Attempt-Id"));
-  response.fields.set("Replica-Load", "1,0,8");
+  AddOwnHeaders(response);
   response.fields.set("Keep-Alive", "timeout=5");
   response.body = std::move(aBody);
   return response;
 }
 
+void CellReplica::AddOwnHeaders(EdgeResponse& aResponse) const
+{
+  aResponse.fields.set("Replica-Load", "1,0,8");
+  if (limit_) {
+    aResponse.fields.set("Server-Limit", *limit_);
+  }
+}
+
 EdgeResponse CellReplica::NotExecutedResponse(unsigned aStatus) const
 {
   EdgeResponse response;
   response.status = aStatus;
   response.fields.set("Not-Executed", "1");
+  AddOwnHeaders(response);
   return response;
 }
 
@@ -188,6 +197,7 @@
 {
   const ClientLimits limits;
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
+    arrivals_.push_back(Now().steady);
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
@@ -198,6 +208,7 @@
         results_.erase(std::string(handle.as_string()));
       }
       EdgeResponse empty;
+      AddOwnHeaders(empty);
       co_await aClient->WriteResponse(std::move(empty));
       continue;
     }
@@ -346,6 +357,7 @@
   }
   EdgeResponse response;
   response.fields.set("Content-Type", "application/json");
+  AddOwnHeaders(response);
   json::object results;
   results["items"] = std::move(items);
   response.body = json::serialize(results);
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -95,6 +95,13 @@
   void Crash(std::chrono::milliseconds aDownTime);
   /** Unlike `Faults`, it is kept until it is set again. */
   void SetCrash(CellCrash aCrash) { crash_ = std::move(aCrash); }
+  /** Names this limit in all later responses; empty: none. */
+  void SetLimit(std::optional<std::string> aLimit)
+  {
+    limit_ = std::move(aLimit);
+  }
+  /** Times at which requests of any kind have arrived. */
+  const std::vector<Instant>& Arrivals() const { return arrivals_; }
   /** Times of all crashes so far. */
   const std::vector<Instant>& Crashes() const { return crashes_; }
   CellFaults& Faults() { return faults_; }
@@ -121,6 +128,8 @@
   /** Writes a response with the framing and the cut of the faults. */
   boost::asio::awaitable<bool> WriteFramed(ClientConnection& aClient,
                                            const EdgeResponse& aResponse);
+  /** Adds the headers of all responses that the server makes itself. */
+  void AddOwnHeaders(EdgeResponse& aResponse) const;
   /** Ends the connection within a response; a clean close of one without
    * length or chunks would look complete, so that it is reset. */
   void BreakOff(ClientConnection& aClient, bool aMayClose);
@@ -143,6 +152,8 @@
   std::vector<std::unique_ptr<EdgeListener>> listeners_;
   CellFaults faults_;
   CellCrash crash_;
+  std::optional<std::string> limit_;
+  std::vector<Instant> arrivals_;
   std::vector<Instant> crashes_;
   bool isDown_ = false;
   std::mt19937_64 random_;
