Keep the limits that servers name over all gateways together

Cause: no gateway read the limit; and a bound on the sum over all gateways can't be kept by each as if it were alone, with a burst each that 300 add up. Change: gateways tell each other the last word of each incarnation, by its age, and of two at the same time the lower one. One gateway, chosen by hashing, hands out the places of a server (core/gateway/limit_allotment); a new one begins with none, and one that hears fewer gateways than a minute ago hands out their share only. Each send takes a place: first sends, retries, resumes, calls for pieces and releases of results. The choice goes round a server without a place; if none is left the request is refused as server-limit, with a Retry-After that is spread. Ruled out: shares by live gateways (0.2 a second each at a limit of 1, and 300 first requests), slots in turn (gateways that disagree on the members overlap). With five servers of limit 2 at least half of the 10 a second are used.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -113,6 +113,11 @@
                  seconds(1),
                  "replicas have crashed on a part of the prompt, and another "
                  "request tries it" },
+  ErrorResponse{ ErrorKind::ServerLimit,
+                 "server-limit",
+                 503,
+                 seconds(1),
+                 "the limits that the replicas have named leave no place" },
   ErrorResponse{ ErrorKind::RecordsFull,
                  "records-full",
                  503,
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -41,6 +41,7 @@
   VersionGone,
   CrashingPrompt,
   SuspectPrompt,
+  ServerLimit,
   RecordsFull,
   DeadlineExceeded,
   OwnerUnreachable,
--- a/core/gateway/backend_limits.cpp
+++ b/core/gateway/backend_limits.cpp
@@ -61,15 +61,26 @@
            : std::nullopt;
 }
 
+BackendLimit BackendLimits::WordOf(std::string_view aBackend,
+                                   std::uint64_t aStartedMs,
+                                   Instant aNow) const
+{
+  const Key key{ std::string(aBackend), aStartedMs };
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return { key.first, key.second, false, 0.0, Duration{} };
+  }
+  const Entry& entry = found->second;
+  return {
+    key.first, key.second, entry.isLimited, entry.perSecond, aNow - entry.at
+  };
+}
+
 std::vector<BackendLimit> BackendLimits::All(Instant aNow) const
 {
   std::vector<BackendLimit> all;
   for (const auto& [key, entry] : entries_) {
-    all.push_back({ key.first,
-                    key.second,
-                    entry.isLimited,
-                    entry.perSecond,
-                    aNow - entry.at });
+    all.push_back(WordOf(key.first, key.second, aNow));
   }
   return all;
 }
--- a/core/gateway/backend_limits.h
+++ b/core/gateway/backend_limits.h
@@ -71,6 +71,10 @@
   {
     return Find(aBackend.id, aBackend.startedMs);
   }
+  /** The last word of an incarnation; that it has no limit if none is known. */
+  BackendLimit WordOf(std::string_view aBackend,
+                      std::uint64_t aStartedMs,
+                      Instant aNow) const;
   /** All words that have not expired, also of limits that have ended. */
   std::vector<BackendLimit> All(Instant aNow) const;
   void Expire(Instant aNow);
--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -557,6 +557,10 @@
     }
     return;
   }
+  if (aEnd == BatchEnd::HeldBack) {
+    Requeue(aBatch, false);
+    return;
+  }
   if (aEnd == BatchEnd::Rejected) {
     // Repeated rejections mean that another gateway's queue uses the replica.
     replica.fullBackoff =
@@ -575,6 +579,12 @@
   Requeue(aBatch, true);
 }
 
+void BatchQueue::Block(std::string_view aReplica, Instant aUntil)
+{
+  ReplicaState& replica = replicas_[std::string(aReplica)];
+  replica.blockedUntil = std::max(replica.blockedUntil, aUntil);
+}
+
 std::size_t BatchQueue::WaitingPieces() const
 {
   return std::accumulate(jobs_.begin(),
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -95,7 +95,8 @@
   Answered,
   Rejected, ///< Not run, for instance because the replica was full.
   Unreachable,
-  Lost, ///< Sent, but no usable answer arrived.
+  Lost,     ///< Sent, but no usable answer arrived.
+  HeldBack, ///< Not sent, since the limit of the replica had no place.
 };
 
 /**
@@ -125,6 +126,8 @@
              BatchEnd aEnd,
              std::span<const BatchItemResult> aResults,
              Instant aNow);
+  /** Starts no call at a replica until a time. */
+  void Block(std::string_view aReplica, Instant aUntil);
   /** Takes the jobs that have ended. */
   std::vector<PieceJobEnd> TakeEnded();
   /** Takes the results that no job is waiting for any more. */
--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "core/gateway/backend_limits.h"
 #include "core/gateway/backend_loads.h"
 #include "core/gateway/backend_registry.h"
 #include "core/gateway/batch_queue.h"
 #include "core/gateway/crash_evidence.h"
+#include "core/gateway/limit_allotment.h"
 #include "core/gateway/part_trials.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/resume_policy.h"
@@ -38,6 +40,7 @@
   std::vector<ServiceWait> waits; ///< For the queues that it owns.
   std::vector<PrefixRead> reads;  ///< Recently sent by this gateway.
   std::uint64_t crashDigest = 0;  ///< See `CrashEvidence`.
+  std::vector<BackendLimit> limits;
 };
 
 /** Announces a long prompt at once, since the next status would be too late. */
@@ -66,6 +69,26 @@
   OriginKnowledge knowledge;
 };
 
+/** Limits that have just changed. */
+struct LimitNotice
+{
+  std::vector<BackendLimit> limits;
+};
+
+/** Asks the gateway that hands out the places of a limited server for one. */
+struct LimitQuestion
+{
+  std::uint64_t number = 0; ///< Copied to the answer.
+  BackendLimit limit;       ///< As the asker knows it.
+  std::uint32_t priority = 0;
+};
+
+struct LimitAnswer
+{
+  std::uint64_t number = 0;
+  LimitGrant grant;
+};
+
 /** Requests the peer's reports of crashes; the reply is a `CrashReport`. */
 struct CrashReportRequest
 {};
--- a/core/gateway/replica_choice.cpp
+++ b/core/gateway/replica_choice.cpp
@@ -124,7 +124,9 @@
     const bool hasExcludedVersion =
       std::ranges::find(aCriteria.excludedVersions, candidate->version) !=
       aCriteria.excludedVersions.end();
-    if (isExcluded || hasExcludedVersion ||
+    const bool isBlocked = aCriteria.limitBlocks &&
+                           aCriteria.limitBlocks->IsBlocked(*candidate, aNow);
+    if (isExcluded || hasExcludedVersion || isBlocked ||
         (aCriteria.version && candidate->version != *aCriteria.version)) {
       continue;
     }
--- a/core/messages.h
+++ b/core/messages.h
@@ -180,7 +180,10 @@
                               StreamOriginReply,
                               CrashReport,
                               CrashReportRequest,
-                              PartTrial>;
+                              PartTrial,
+                              LimitNotice,
+                              LimitQuestion,
+                              LimitAnswer>;
 
 /** A message between two processes. */
 struct PeerMessage
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -112,6 +112,15 @@
   aTo.set_number(aFrom.number);
 }
 
+void Fill(proto::BackendLimit& aTo, const BackendLimit& aFrom)
+{
+  aTo.set_backend(aFrom.backend);
+  aTo.set_started_ms(aFrom.startedMs);
+  aTo.set_is_limited(aFrom.isLimited);
+  aTo.set_per_second(aFrom.perSecond);
+  aTo.set_age_us(aFrom.age.count());
+}
+
 void FillBody(proto::Envelope& aTo, const GatewayStatus& aFrom)
 {
   proto::GatewayNews& to = *aTo.mutable_gateway_news();
@@ -144,6 +153,9 @@
     }
   }
   to.set_crash_digest(aFrom.crashDigest);
+  for (const BackendLimit& limit : aFrom.limits) {
+    Fill(*to.add_limits(), limit);
+  }
 }
 
 void FillBody(proto::Envelope& aTo, const RegistryRequest& /*aFrom*/)
@@ -255,6 +267,30 @@
   to.set_is_version_list_complete(aFrom.knowledge.isVersionListComplete);
 }
 
+void FillBody(proto::Envelope& aTo, const LimitNotice& aFrom)
+{
+  proto::LimitNotice& to = *aTo.mutable_limit_notice();
+  for (const BackendLimit& limit : aFrom.limits) {
+    Fill(*to.add_limits(), limit);
+  }
+}
+
+void FillBody(proto::Envelope& aTo, const LimitQuestion& aFrom)
+{
+  proto::LimitQuestion& to = *aTo.mutable_limit_question();
+  to.set_number(aFrom.number);
+  Fill(*to.mutable_limit(), aFrom.limit);
+  to.set_priority(aFrom.priority);
+}
+
+void FillBody(proto::Envelope& aTo, const LimitAnswer& aFrom)
+{
+  proto::LimitAnswer& to = *aTo.mutable_limit_answer();
+  to.set_number(aFrom.number);
+  to.set_is_granted(aFrom.grant.isGranted);
+  to.set_retry_after_us(aFrom.grant.retryAfter.count());
+}
+
 void FillBody(proto::Envelope& aTo, const CrashReport& aFrom)
 {
   proto::CrashReport& to = *aTo.mutable_crash_report();
@@ -490,6 +526,23 @@
   return { aFrom.begin(), aFrom.end() };
 }
 
+/** A negative age would place the event in the future. */
+Duration ReadAge(std::int64_t aMicroseconds)
+{
+  return Duration(std::max<std::int64_t>(0, aMicroseconds));
+}
+
+/** A rate that is no positive number leaves the smallest that is served. */
+BackendLimit Read(const proto::BackendLimit& aFrom)
+{
+  const double rate = aFrom.per_second();
+  return { aFrom.backend(),
+           aFrom.started_ms(),
+           aFrom.is_limited(),
+           rate > 0.0 ? rate : 0.0,
+           ReadAge(aFrom.age_us()) };
+}
+
 GatewayStatus Read(const proto::GatewayNews& aFrom)
 {
   GatewayStatus status;
@@ -517,6 +570,9 @@
     status.reads.push_back(std::move(read));
   }
   status.crashDigest = aFrom.crash_digest();
+  for (const proto::BackendLimit& limit : aFrom.limits()) {
+    status.limits.push_back(Read(limit));
+  }
   return status;
 }
 
@@ -593,10 +649,13 @@
   return reply;
 }
 
-/** A negative age would place the event in the future. */
-Duration ReadAge(std::int64_t aMicroseconds)
+LimitNotice Read(const proto::LimitNotice& aFrom)
 {
-  return Duration(std::max<std::int64_t>(0, aMicroseconds));
+  LimitNotice notice;
+  for (const proto::BackendLimit& limit : aFrom.limits()) {
+    notice.limits.push_back(Read(limit));
+  }
+  return notice;
 }
 
 CrashReport Read(const proto::CrashReport& aFrom)
@@ -692,6 +751,16 @@
                         aFrom.part_trial().number(),
                         ToStrings(aFrom.part_trial().parts()),
                         aFrom.part_trial().has_ended() };
+    case proto::Envelope::kLimitNotice:
+      return Read(aFrom.limit_notice());
+    case proto::Envelope::kLimitQuestion:
+      return LimitQuestion{ aFrom.limit_question().number(),
+                            Read(aFrom.limit_question().limit()),
+                            aFrom.limit_question().priority() };
+    case proto::Envelope::kLimitAnswer:
+      return LimitAnswer{ aFrom.limit_answer().number(),
+                          { aFrom.limit_answer().is_granted(),
+                            ReadAge(aFrom.limit_answer().retry_after_us()) } };
     case proto::Envelope::BODY_NOT_SET:
       break;
   }
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -55,7 +55,7 @@
   : state_(loop_, aSettings, MakeProcessId(aSettings), aLog)
   , platformState_(state_)
   , peers_(state_, platformState_)
-  , limits_(state_)
+  , limits_(state_, peers_)
   , pieces_(state_, peers_, limits_)
   , origins_(state_, peers_)
   , crashes_(state_, peers_)
@@ -88,7 +88,8 @@
   peers_.SetHandler(
     [this](Route aRoute, const PeerHeader& aHeader, PeerBody aBody) {
       if (!origins_.OnPeerMessage(aRoute, aHeader, aBody) &&
-          !crashes_.OnPeerMessage(aRoute, aHeader, aBody)) {
+          !crashes_.OnPeerMessage(aRoute, aHeader, aBody) &&
+          !limits_.OnPeerMessage(aRoute, aHeader, aBody)) {
         pieces_.OnPeerMessage(std::move(aRoute), aHeader, std::move(aBody));
       }
     });
@@ -98,6 +99,10 @@
     [this](const std::string& aPeer, std::uint64_t aDigest) {
       crashes_.OnPeerDigest(aPeer, aDigest);
     });
+  peers_.SetLimitsHandler(
+    [this](const std::string& aPeer, std::span<const BackendLimit> aLimits) {
+      limits_.OnPeerLimits(aPeer, aLimits);
+    });
   platformState_.SetBackendObserver([this](const RegistryEvent& aEvent) {
     if (aEvent.kind == "restarted" || aEvent.kind == "removed") {
       crashes_.OnBackendReplaced(aEvent.id, aEvent.kind == "restarted");
@@ -237,7 +242,7 @@
             std::to_string(load.failures) +
             (load.isSuspect ? ", suspect" : "") + "\n";
   }
-  return text + crashes_.StateText();
+  return text + crashes_.StateText() + limits_.StateText();
 }
 
 void GatewayProcess::CheckSettings()
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -112,6 +112,7 @@
   }
   status.loads = state_.loads.OwnLoads(now);
   status.reads = state_.prefixes.RecentReads(now);
+  status.limits = state_.limits.All(now);
   if (queueWaitProvider_) {
     status.waits = queueWaitProvider_();
   }
@@ -199,6 +200,9 @@
       state_.loads.RemovePeer(aItem.first);
       return true;
     });
+    std::erase_if(heardAt_, [&](const auto& aItem) {
+      return now - aItem.second >= kRecentTime;
+    });
     state_.retryBudget.SetGatewayCount(LiveGateways());
     timer.expires_after(kStatusInterval);
     boost::system::error_code ignored;
@@ -334,6 +338,14 @@
     state_.prefixes.OnPeerRead(read, now);
   }
   peer.status = std::move(aStatus);
+  if (peer.status.isLeaving) {
+    heardAt_.erase(peer.status.address);
+  } else {
+    heardAt_[peer.status.address] = now;
+  }
+  if (limitsHandler_) {
+    limitsHandler_(peer.status.address, peer.status.limits);
+  }
   if (isNew) {
     // It may have just started, and know nothing.
     SendTo(peer.status.address, OwnStatus());
@@ -344,13 +356,19 @@
 }
 
 std::string PeerExchange::QueueOwnerOf(std::string_view aService) const
+{
+  std::string owner = OwnerOf(Checksum(aService));
+  owners_[std::string(aService)] = owner;
+  return owner;
+}
+
+std::string PeerExchange::OwnerOf(std::uint64_t aKey) const
 {
   const Instant now = Now().steady;
-  const std::uint64_t key = Checksum(aService);
   std::string owner;
   double best = state_.IsStopping()
                   ? -1.0
-                  : OwnershipScore(key,
+                  : OwnershipScore(aKey,
                                    state_.settings.peerAddress,
                                    state_.settings.processorShare);
   for (const auto& [address, peer] : peers_) {
@@ -359,13 +377,12 @@
       continue;
     }
     const double score =
-      OwnershipScore(key, address, peer.status.processorShare);
+      OwnershipScore(aKey, address, peer.status.processorShare);
     if (score > best) {
       best = score;
       owner = address;
     }
   }
-  owners_[std::string(aService)] = owner;
   return owner;
 }
 
@@ -421,6 +438,11 @@
                }));
 }
 
+std::size_t PeerExchange::RecentGateways() const
+{
+  return std::max(LiveGateways(), 1 + heardAt_.size());
+}
+
 bool PeerExchange::IsStoreReader() const
 {
   const Instant now = Now().steady;
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,8 @@
   static constexpr std::size_t kMaxPromptTargets = 24;
   /** Maximum number of gateways that read the store at the same time. */
   static constexpr std::size_t kMaxStoreReaders = 8;
+  /** Most cuts between gateways end within this time. */
+  static constexpr Duration kRecentTime = std::chrono::seconds(60);
 
   using Handler = std::function<void(Route, const PeerHeader&, PeerBody)>;
   using QueueWaitProvider = std::function<std::vector<ServiceWait>()>;
@@ -50,6 +53,9 @@
   /** Called with the address of a peer and its digest. */
   using CrashDigestHandler =
     std::function<void(const std::string&, std::uint64_t)>;
+  /** Called with the address of a peer and what its status says of limits. */
+  using LimitsHandler =
+    std::function<void(const std::string&, std::span<const BackendLimit>)>;
 
   PeerExchange(GatewayState& aState, PlatformState& aPlatformState);
 
@@ -67,12 +73,19 @@
     crashDigestProvider_ = std::move(aProvider);
     crashDigestHandler_ = std::move(aHandler);
   }
+  /** Sets who hears of the limits that peers know. */
+  void SetLimitsHandler(LimitsHandler aHandler)
+  {
+    limitsHandler_ = std::move(aHandler);
+  }
   void Start();
   void Stop();
 
   /** Address of the gateway that owns a stage service's queue; empty if it is
    * this gateway. */
   std::string QueueOwnerOf(std::string_view aService) const;
+  /** The same for the owner of any other duty, by the hash of its name. */
+  std::string OwnerOf(std::uint64_t aKey) const;
   /** Whether the peer is live and still has the given incarnation. */
   bool IsLive(const std::string& aAddress, Incarnation aIncarnation) const;
   /** Incarnation of the peer; zero if unknown. */
@@ -88,6 +101,9 @@
   std::vector<std::string> LivePeers(LeavingPeers aLeaving) const;
   /** Number of live gateways, including this one. */
   std::size_t LiveGateways() const;
+  /** The same, with those that were live within `kRecentTime` and have not said
+   * that they leave. */
+  std::size_t RecentGateways() const;
 
   void SendTo(const std::string& aAddress, PeerBody aBody);
   void SendBack(const Route& aRoute, Incarnation aTarget, PeerBody aBody);
@@ -128,6 +144,9 @@
   QueueWaitProvider queueWaitProvider_;
   CrashDigestProvider crashDigestProvider_;
   CrashDigestHandler crashDigestHandler_;
+  LimitsHandler limitsHandler_;
+  /** When each peer was heard that has not said that it leaves. */
+  std::map<std::string, Instant, std::less<>> heardAt_;
   std::map<std::string, Peer, std::less<>> peers_;
   /** Expiry of each address from which nothing has been received. */
   std::map<std::string, Instant, std::less<>> candidates_;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -27,6 +27,8 @@
 /** Interval at which results are released in groups. */
 constexpr Duration kReleaseInterval = std::chrono::milliseconds(20);
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(700);
+/** Results that wait for a place in the limit of their server. */
+constexpr std::size_t kMaxHeldReleases = 4'096;
 constexpr std::size_t kMaxResponseBytes = 1'048'576;
 constexpr unsigned kOk = 200;
 
@@ -294,11 +296,26 @@
   co_return BatchEnd::Answered;
 }
 
+std::uint32_t PieceService::UrgencyOf(const std::string& aService,
+                                      const Batch& aBatch)
+{
+  const Queue* const queue = FindOrCreateQueue(aService);
+  std::uint32_t urgency = kPriorityClasses;
+  for (const BatchItem& item : aBatch.items) {
+    const PieceJob* const job = queue->queue.Find(item.job);
+    urgency = job ? std::min(urgency, job->priority) : urgency;
+  }
+  return urgency;
+}
+
 asio::awaitable<void> PieceService::RunBatch(std::string aService, Batch aBatch)
 {
   const Instant begin = Now().steady;
   std::vector<BatchItemResult> results;
-  const BatchEnd end = co_await CallReplica(aService, aBatch, results);
+  BatchEnd end = BatchEnd::HeldBack;
+  if (co_await limits_.Acquire(aBatch.backend, UrgencyOf(aService, aBatch))) {
+    end = co_await CallReplica(aService, aBatch, results);
+  }
   const Instant now = Now().steady;
   const bool isSuccess = end == BatchEnd::Answered;
   state_.log.Write(isSuccess ? LogClass::Normal : LogClass::Failure,
@@ -315,7 +332,7 @@
   Queue* const queue = FindOrCreateQueue(aService);
   // The retry of a call counts once per job against the retry budget of the
   // fleet.
-  if (!isSuccess && end != BatchEnd::Unreachable) {
+  if (!isSuccess && end != BatchEnd::Unreachable && end != BatchEnd::HeldBack) {
     PieceJobId lastJob;
     for (const BatchItem& item : aBatch.items) {
       if (item.job != lastJob && !state_.retryBudget.Take(aService, now)) {
@@ -325,6 +342,8 @@
     }
   }
   queue->queue.OnEnd(aBatch, end, results, now);
+  queue->queue.Block(aBatch.backend->id,
+                     limits_.Blocks().BlockedUntil(*aBatch.backend));
   StartBatches(aService);
 }
 
@@ -418,9 +437,9 @@
       asio::redirect_error(asio::use_awaitable, ignored));
     for (auto& [address, handles] : std::exchange(resultsToRelease_, {})) {
       // The results of a backend server that has gone no longer exist.
-      if (state_.registry.FindByAddress(address)) {
+      if (BackendPtr backend = state_.registry.FindByAddress(address)) {
         asio::co_spawn(state_.loop,
-                       SendReleaseCall(address, std::move(handles)),
+                       SendReleaseCall(std::move(backend), std::move(handles)),
                        asio::detached);
       }
     }
@@ -438,21 +457,30 @@
 }
 
 asio::awaitable<void> PieceService::SendReleaseCall(
-  std::string aAddress,
+  BackendPtr aBackend,
   std::vector<std::string> aHandles)
 {
+  const std::string& address = aBackend->address;
+  if (!co_await limits_.Acquire(aBackend, kPriorityClasses)) {
+    // They go with later ones; what is too much expires at its server.
+    if (resultsToRelease_[address].size() < kMaxHeldReleases) {
+      ReleaseLocally(std::move(aHandles));
+    }
+    co_return;
+  }
   const Instant deadline = Now().steady + kReleaseTimeout;
-  BackendExchange exchange(state_.pool, aAddress);
+  BackendExchange exchange(state_.pool, address);
   if (co_await exchange.Connect(Reuse::Any, deadline) != ExchangeState::Ok) {
     co_return;
   }
-  exchange.Send(ToReleaseCall(aAddress, aHandles));
+  exchange.Send(ToReleaseCall(address, aHandles));
   if (co_await exchange.ReadHead(deadline) != ExchangeState::Ok) {
     state_.metrics.Count("results_not_freed", "", "");
     co_return;
   }
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
+  limits_.OnResponse(*aBackend, head.limit);
   const BodyPart body = co_await exchange.ReadRest(deadline, kMaxResponseBytes);
   OnResultsReleased(aHandles);
   if (body.state == ExchangeState::Ok) {
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -93,6 +93,8 @@
   void DeliverFinishedJobs(Queue& aQueue);
   /** Schedules results for release by this gateway. */
   void ReleaseLocally(std::vector<std::string> aHandles);
+  /** Priority of the most urgent job of a call. */
+  std::uint32_t UrgencyOf(const std::string& aService, const Batch& aBatch);
   boost::asio::awaitable<void> RunBatch(std::string aService, Batch aBatch);
   /** Makes one call; sets `aResults` only if it returns `Answered`. */
   boost::asio::awaitable<BatchEnd> CallReplica(
@@ -101,7 +103,7 @@
     std::vector<BatchItemResult>& aResults);
   boost::asio::awaitable<void> ReleaseLoop();
   boost::asio::awaitable<void> SendReleaseCall(
-    std::string aAddress,
+    BackendPtr aBackend,
     std::vector<std::string> aHandles);
   /** Notifies the local queues that results no longer occupy memory. */
   void OnResultsReleased(std::span<const std::string> aHandles);
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -275,6 +275,7 @@
   criteria.prompt = &aAttempt.parameters.prompt;
   criteria.prefixes = &state_.prefixes;
   criteria.version = aAttempt.RequiredVersion();
+  criteria.limitBlocks = &limits_.Blocks();
   const auto choice =
     ChooseReplica(state_.registry.Usable(aAttempt.service->name),
                   criteria,
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -98,6 +98,7 @@
   criteria.excluded = triedReplicas_;
   criteria.version = attempt_.RequiredVersion();
   criteria.excludedVersions = excludedVersions_;
+  criteria.limitBlocks = &limits_.Blocks();
   if (service.engine) {
     criteria.prompt = &attempt_.parameters.prompt;
     criteria.prefixes = &state_.prefixes;
@@ -183,6 +184,17 @@
     }
     excludedVersions_ = std::move(prompt.excludedVersions);
     const auto choice = Choose();
+    if (choice && state_.limits.Find(*choice->backend)) {
+      const bool hasPlace =
+        co_await limits_.Acquire(choice->backend, attempt_.priority);
+      // Another request may have begun to try the prompt meanwhile.
+      const bool isNext =
+        crashes_.Decide(*attempt_.sharedParts, attempt_.service->name).step ==
+        prompt.step;
+      if (!hasPlace || !isNext) {
+        continue;
+      }
+    }
     const Instant now = Now().steady;
     if (!choice || attempt_.responseDeadline - now <= kMinSendTime) {
       co_await FinishWithFailure(DecideNextStep({ attempt_.route->repeatability,
@@ -554,14 +566,17 @@
   }
   const bool isLate = attempt_.responseDeadline - Now().steady <= kMinSendTime;
   ErrorKind kind = ErrorKind::BackendFailed;
+  Duration retryAfter{};
   if (aStep == NextStep::RefuseNotRun) {
-    kind = aFailure == SendFailure::Rejected ? ErrorKind::Overloaded
-                                             : ErrorKind::NoReplica;
+    const auto limitRetryAfter = limits_.RetryAfter(attempt_.service->name);
+    kind = limitRetryAfter                     ? ErrorKind::ServerLimit
+           : aFailure == SendFailure::Rejected ? ErrorKind::Overloaded
+                                               : ErrorKind::NoReplica;
+    retryAfter = limitRetryAfter.value_or(kBusyRetryAfter);
   } else if (isLate) {
     kind = ErrorKind::DeadlineExceeded;
   }
-  EdgeResponse response = FailureResponse(
-    kind, aStep == NextStep::RefuseNotRun ? kBusyRetryAfter : Duration{});
+  EdgeResponse response = FailureResponse(kind, retryAfter);
   const unsigned status = response.status;
   co_await attempt_.client->WriteResponse(std::move(response));
   RecordOutcome(ErrorResponseOf(kind).name, status);
--- a/tests/cell/test_server_limit.cpp
+++ b/tests/cell/test_server_limit.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -146,4 +147,84 @@
   CHECK(served > 0);
 }
 
+TEST_CASE_FIXTURE(ServerLimitFixture,
+                  "[ServerLimit] where all servers are limited the limits are "
+                  "used and the rest is refused at once")
+{
+  SetLimits(cell.PlainServers(), { "2", "2", "2", "2", "2" });
+  StartClients("/once/x", milliseconds(20));
+  std::this_thread::sleep_for(kLimitContact);
+  const Instant from = Now().steady;
+  std::this_thread::sleep_for(kLimitWindow);
+  CHECK(WaitUntil([&] {
+    const CellRequest request = Make("/once/x");
+    const CellResponse response = Send(request, 1);
+    return response.status == 503 && !response.retryAfter.empty() &&
+           response.endedAt - response.sentAt < request.deadline / 4;
+  }));
+  double used = 0.0;
+  for (const auto& server : cell.PlainServers()) {
+    CHECK(static_cast<double>(MostArrivalsAt(*server, from)) <=
+          MostWithin(2.0));
+    used += RateAt(*server, from);
+  }
+  CHECK(used >= 0.5 * 10.0);
+  Stop();
+}
+
+TEST_CASE_FIXTURE(ServerLimitFixture,
+                  "[ServerLimit] a server that no longer names a limit gets "
+                  "requests as before")
+{
+  SetLimits(cell.PlainServers(), { "1", "1", "1", "1", "1" });
+  StartClients("/read/x", milliseconds(20));
+  std::this_thread::sleep_for(kLimitContact);
+  SetLimits(cell.PlainServers(), { "", "", "", "", "" });
+  std::this_thread::sleep_for(kLimitContact);
+  const int sentBefore = sent;
+  const int servedBefore = served;
+  std::this_thread::sleep_for(seconds(1));
+  Stop();
+  CHECK(sent > sentBefore);
+  CHECK((served - servedBefore) * 10 >= (sent - sentBefore) * 9);
+}
+
+TEST_CASE_FIXTURE(ServerLimitFixture,
+                  "[ServerLimit] limits hold while gateways restart, freeze "
+                  "and stop")
+{
+  SetLimits(cell.PlainServers(), { "1", "2.5", "0.5" });
+  StartClients("/read/x", milliseconds(20));
+  StartClients("/once/x", milliseconds(20));
+  std::this_thread::sleep_for(kLimitContact);
+  const Instant from = Now().steady;
+  for (std::size_t index = 0; index < cell.Gateways().size(); ++index) {
+    CellGateway& gateway = cell.Gateways()[index];
+    switch (index % 3) {
+      case 0:
+        gateway.process.reset();
+        cell.StartGateway(gateway);
+        break;
+      case 1:
+        gateway.process->Signal(SIGSTOP);
+        std::this_thread::sleep_for(milliseconds(1'200));
+        gateway.process->Signal(SIGCONT);
+        break;
+      default:
+        gateway.process->Signal(SIGTERM);
+        gateway.process->Wait();
+        cell.StartGateway(gateway);
+        break;
+    }
+    std::this_thread::sleep_for(milliseconds(1'500));
+  }
+  const std::array<double, 3> limits{ 1.0, 2.5, 0.5 };
+  for (std::size_t index = 0; index < limits.size(); ++index) {
+    CAPTURE(index);
+    CHECK(static_cast<double>(MostArrivalsAt(
+            *cell.PlainServers()[index], from)) <= MostWithin(limits[index]));
+  }
+  Stop();
+}
+
 } // namespace gypsum::tests
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -145,6 +145,36 @@
   CHECK(std::get<GatewayStatus>(news->body).crashDigest == 77);
 }
 
+TEST_CASE("[PeerCodec] limits, questions and answers are transferred unchanged")
+{
+  const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
+  const BackendLimit limit{ "i-1", 17, true, 2.5, Duration(40) };
+  const auto notice = Decode(Encode({ header, LimitNotice{ { limit } } }));
+  REQUIRE(notice);
+  CHECK(std::get<LimitNotice>(notice->body).limits == std::vector{ limit });
+  const auto question =
+    Decode(Encode({ header, LimitQuestion{ 5, limit, 2 } }));
+  REQUIRE(question);
+  CHECK(std::get<LimitQuestion>(question->body).number == 5);
+  CHECK(std::get<LimitQuestion>(question->body).limit == limit);
+  CHECK(std::get<LimitQuestion>(question->body).priority == 2);
+  const LimitGrant grant{ false, Duration(900) };
+  const auto answer = Decode(Encode({ header, LimitAnswer{ 5, grant } }));
+  REQUIRE(answer);
+  CHECK(std::get<LimitAnswer>(answer->body).number == 5);
+  CHECK(std::get<LimitAnswer>(answer->body).grant == grant);
+  BackendLimit wrong = limit;
+  wrong.perSecond = -1.0;
+  GatewayStatus status;
+  status.limits = { limit, wrong };
+  const auto news = Decode(Encode({ header, status }));
+  REQUIRE(news);
+  const auto& limits = std::get<GatewayStatus>(news->body).limits;
+  REQUIRE(limits.size() == 2);
+  CHECK(limits[0] == limit);
+  CHECK(limits[1].perSecond == 0.0);
+}
+
 TEST_CASE("[PeerCodec] a fleet update is transferred unchanged")
 {
   FleetUpdate update;
