Bound one event of a stream in bytes, time and search

Seen by the operators: 11 MB of one event without end in 5 s, all of it searched again at each read. Comments and empty lines without end were taken for events. Cause: EventSplitter kept and searched an incomplete event whole, and each read moved the deadline of the next event. Change: 1 MB without an event, also of comments, ends the response as broken off; bytes are searched once; only an event moves the deadline.

--- a/core/gateway/event_splitter.h
+++ b/core/gateway/event_splitter.h
@@ -19,12 +19,20 @@
 class EventSplitter
 {
 public:
+  /** Far above the events of model replicas, of some hundred bytes. */
+  static constexpr std::size_t kMaxEventBytes = 1'048'576;
+
   /** Appends bytes; returns the events that are now complete, unchanged. */
   std::string Add(std::string_view aBytes);
   /** Discards the bytes of the incomplete event. */
-  void DropPartial() { partial_.clear(); }
+  void DropPartial() { TakePartial(); }
   /** Returns and clears the bytes after the last complete event. */
-  std::string TakePartial() { return std::exchange(partial_, {}); }
+  std::string TakePartial()
+  {
+    searchedBytes_ = 0;
+    bytesSinceEvent_ = 0;
+    return std::exchange(partial_, {});
+  }
   /** Number of bytes after the last complete event. */
   std::size_t PartialBytes() const { return partial_.size(); }
   /** Whether an event has begun and is not complete; line ends between two
@@ -35,14 +43,19 @@
   }
   /** The id of the last complete event that had one. */
   const std::optional<std::string>& LastId() const { return lastId_; }
-  /** Number of complete events. */
+  /** Whether more bytes than `kMaxEventBytes` have come since the last event,
+   * of one event or of comments and empty lines. */
+  bool IsEndless() const { return bytesSinceEvent_ > kMaxEventBytes; }
+  /** Number of complete events; comments and empty lines alone are none. */
   std::uint64_t Events() const { return events_; }
 
 private:
   /** Counts a complete event and stores its id. */
-  void ParseEvent(std::string_view aEvent);
+  void ParseEvent(std::string_view aEvent, std::size_t aBytesAfter);
 
   std::string partial_;
+  std::size_t searchedBytes_ = 0; ///< Of `partial_`; no event ends there.
+  std::size_t bytesSinceEvent_ = 0;
   std::optional<std::string> lastId_;
   std::uint64_t events_ = 0;
 };
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -487,11 +487,16 @@
   const EdgeResponse clientHead{ aHead.status,
                                  FieldsForClient(aExchange.GetHead()),
                                  "" };
+  // Bytes without an event don't move the deadline.
+  Instant deadline = ResponseStartDeadline(*currentReplica_);
+  std::uint64_t eventsSeen = splitter_.Events();
   for (;;) {
-    const BodyPart part = co_await aExchange.ReadSome(
-      isFirstPartReported_ ? NextEventDeadline()
-                           : ResponseStartDeadline(*currentReplica_));
+    const BodyPart part = co_await aExchange.ReadSome(deadline);
     std::string events = splitter_.Add(part.bytes);
+    if (splitter_.Events() > eventsSeen) {
+      eventsSeen = splitter_.Events();
+      deadline = NextEventDeadline();
+    }
     StoreResponseEnd(aExchange);
     const bool isBrokenOff =
       part.isEnd &&
@@ -522,6 +527,14 @@
         };
       }
     }
+    if (splitter_.IsEndless()) {
+      aExchange.Cancel();
+      co_return SendResult{ hasResponseBegun_ ? SendFailure::Interrupted
+                                              : SendFailure::Lost,
+                            SendOutcome::Failed,
+                            "endless-event",
+                            true };
+    }
     if (part.state != ExchangeState::Ok || isBrokenOff) {
       const bool isUnresponsive = part.state == ExchangeState::TimedOut;
       co_return SendResult{
--- a/tests/gateway/test_event_splitter.cpp
+++ b/tests/gateway/test_event_splitter.cpp
@@ -84,4 +84,51 @@
   CHECK_FALSE(IsComplete({ false, true, 3 }));
 }
 
+TEST_CASE("[EventSplitter] an event, comments or empty lines without end are "
+          "noticed and searched once")
+{
+  const std::string part(16'384, 'x');
+  for (const std::string& unit : { part,
+                                   ":" + part + "\n",
+                                   std::string("\n\n"),
+                                   std::string(": y\n\n") }) {
+    CAPTURE(unit.size());
+    EventSplitter splitter;
+    CHECK(splitter.Add("id: 1\n\n") == "id: 1\n\n");
+    std::size_t bytes = 0;
+    while (!splitter.IsEndless() &&
+           bytes < 16 * EventSplitter::kMaxEventBytes) {
+      splitter.Add(unit);
+      bytes += unit.size();
+    }
+    CHECK(splitter.IsEndless());
+    CHECK(bytes <= EventSplitter::kMaxEventBytes + unit.size());
+    CHECK(splitter.Events() == 1);
+    splitter.DropPartial();
+    CHECK_FALSE(splitter.IsEndless());
+    CHECK(splitter.Add("id: 2\n\n") == "id: 2\n\n");
+  }
+}
+
+TEST_CASE("[EventSplitter] an event that comes byte by byte is searched once")
+{
+  // With a search from the start for each byte, this would take minutes.
+  EventSplitter splitter;
+  const std::string line(1'000'000, 'x');
+  for (const char byte : line) {
+    splitter.Add(std::string_view(&byte, 1));
+  }
+  CHECK(splitter.Add("\n\n").size() == line.size() + 2);
+}
+
+TEST_CASE("[EventSplitter] a stream of many events is never endless")
+{
+  EventSplitter splitter;
+  for (int event = 0; event < 200; ++event) {
+    splitter.Add("data: " + std::string(16'000, 'y') + "\n\n");
+    CHECK_FALSE(splitter.IsEndless());
+  }
+  CHECK(splitter.Events() == 200);
+}
+
 } // namespace gypsum::tests
