Bound heads, trailers and chunk framing of a response in bytes

Seen by the operators: 124 MB of interim heads read for the whole deadline. Cause: only one head was bounded; interim heads, trailers, extensions of chunks and the framing of many small chunks were read as long as they came. Change: 64 KB for all heads of one response, 128 KB of bytes that can't be parsed yet, and framing of 64 KB plus eight times the content; a page of the store of 16 MB in place of 64 MB, which a gateway of 260 MB could not hold while it grows.

--- a/drivers/edge/backend_exchange.cpp
+++ b/drivers/edge/backend_exchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -19,7 +20,14 @@
 
 namespace {
 
+/** Of all headers of one response, interim ones included. */
 constexpr std::uint32_t kMaxHeaderBytes = 65'536;
+/** Unread bytes, such as trailers or the extensions of one chunk. */
+constexpr std::size_t kMaxUnreadBytes = 131'072;
+/** Bytes of a body that are none of its content: sizes, line ends and
+ * extensions of chunks. One byte in a chunk of its own has five. */
+constexpr std::size_t kMaxFramingBytes = 65'536;
+constexpr std::size_t kMaxFramingRatio = 8;
 constexpr std::size_t kPartBytes = 16'384;
 constexpr unsigned kFirstFinalStatus = 200;
 
@@ -69,6 +77,8 @@
   if (aError == beast::error::timeout) {
     return ExchangeState::TimedOut;
   }
+  isEndless_ = aError == http::error::header_limit ||
+               aError == http::error::buffer_overflow;
   const bool isClosed = aError == http::error::end_of_stream ||
                         aError == http::error::partial_message ||
                         aError == asio::error::eof;
@@ -91,6 +101,7 @@
     connection_->stream.close();
     co_return ExchangeState::NotConnected;
   }
+  connection_->buffer.max_size(kMaxUnreadBytes);
   co_return ExchangeState::Ok;
 }
 
@@ -111,13 +122,15 @@
 asio::awaitable<ExchangeState> BackendExchange::ReadHead(Instant aDeadline)
 {
   connection_->stream.expires_at(aDeadline);
-  for (;;) {
+  std::size_t headerBytes = 0;
+  while (headerBytes < kMaxHeaderBytes) {
     parser_.emplace();
-    parser_->header_limit(kMaxHeaderBytes);
+    parser_->header_limit(kMaxHeaderBytes -
+                          static_cast<std::uint32_t>(headerBytes));
     parser_->body_limit(boost::none);
     parser_->skip(isHeadRequest_);
     boost::system::error_code error;
-    co_await http::async_read_header(
+    headerBytes += co_await http::async_read_header(
       connection_->stream,
       connection_->buffer,
       *parser_,
@@ -126,9 +139,13 @@
       co_return OnReadError(error);
     }
     if (parser_->get().result_int() >= kFirstFinalStatus) {
+      bodyBytes_ = 0;
+      framingBytes_ = 0;
       co_return ExchangeState::Ok;
     }
   }
+  isEndless_ = true;
+  co_return ExchangeState::Broken;
 }
 
 asio::awaitable<BodyPart> BackendExchange::ReadSome(Instant aDeadline)
@@ -142,12 +159,20 @@
     body.size = bytes.size();
     body.more = true;
     boost::system::error_code error;
-    co_await http::async_read_some(
+    const std::size_t readBytes = co_await http::async_read_some(
       connection_->stream,
       connection_->buffer,
       *parser_,
       asio::redirect_error(asio::use_awaitable, error));
-    part.bytes.append(bytes.data(), bytes.size() - body.size);
+    const std::size_t contentBytes = bytes.size() - body.size;
+    part.bytes.append(bytes.data(), contentBytes);
+    bodyBytes_ += contentBytes;
+    framingBytes_ += readBytes - std::min(readBytes, contentBytes);
+    if (framingBytes_ > kMaxFramingBytes + kMaxFramingRatio * bodyBytes_) {
+      isEndless_ = true;
+      part.state = ExchangeState::Broken;
+      co_return part;
+    }
     if (error && error != http::error::need_buffer) {
       part.state = OnReadError(error);
       co_return part;
@@ -181,6 +206,7 @@
     rest.isEnd = part.isEnd;
     rest.state = part.state;
     if (rest.bytes.size() > aMaxBytes) {
+      isEndless_ = true;
       rest.state = ExchangeState::Broken;
     }
   }
--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -78,6 +79,8 @@
   /** What marks the end of the body; call after `ReadHead`. */
   BodyFraming Framing() const;
   ConnectionEnd GetConnectionEnd() const { return connectionEnd_; }
+  /** Whether the response was given up for its length in bytes. */
+  bool IsEndless() const { return isEndless_; }
   /** Reads more of the body; waits for at least one byte or the end. */
   boost::asio::awaitable<BodyPart> ReadSome(Instant aDeadline);
   /** Reads the rest of the body; `Broken` if it is longer than the limit. */
@@ -105,6 +108,9 @@
     boost::beast::http::response_parser<boost::beast::http::buffer_body>>
     parser_;
   ConnectionEnd connectionEnd_ = ConnectionEnd::Open;
+  std::size_t bodyBytes_ = 0;
+  std::size_t framingBytes_ = 0; ///< See `kMaxFramingBytes`.
+  bool isEndless_ = false;
   bool isHeadRequest_ = false;
   bool isCancelled_ = false;
 };
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -31,7 +31,8 @@
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1'000);
 /** How often a gateway checks whether it has become a reader. */
 constexpr Duration kReaderCheckInterval = std::chrono::milliseconds(250);
-constexpr std::size_t kMaxResponseBytes = 67'108'864;
+/** Several items of the largest size; a gateway may use 260 MB. */
+constexpr std::size_t kMaxResponseBytes = 16'777'216;
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
--- a/tests/gateway/test_edge.cpp
+++ b/tests/gateway/test_edge.cpp
@@ -144,11 +144,31 @@
     return received.get();
   }
 
+  /** Sends one request; the server responds with `aBegin` and then with
+   * `aUnit` over and over until its peer closes. Stores what it could send. */
+  Received RespondWithoutEnd(const std::string& aBegin,
+                             const std::string& aUnit)
+  {
+    auto received = boost::asio::co_spawn(
+      loop.Context(), RunExchange(pool, Address(2)), boost::asio::use_future);
+    RawSocket socket = server.Accept();
+    socket.ReadMessage();
+    sentBytes = 0;
+    socket.Send(aBegin);
+    while (sentBytes < kMostSentBytes && socket.Send(aUnit)) {
+      sentBytes += aUnit.size();
+    }
+    return received.get();
+  }
+
   std::size_t IdleCount()
   {
     return loop.Run([&] { return pool.IdleCount(); });
   }
 
+  /** Above all bounds and the buffers of both sockets. */
+  static constexpr std::size_t kMostSentBytes = 64'000'000;
+  std::size_t sentBytes = 0;
   CellLoop loop;
   BackendPool pool;
   RawListener server{ Address(2) };
@@ -366,4 +386,41 @@
   CHECK(received.head == ExchangeState::NotConnected);
 }
 
+TEST_CASE_FIXTURE(ExchangeFixture,
+                  "[Edge] a response without end is given up by its bytes, "
+                  "wherever they come")
+{
+  struct Sample
+  {
+    std::string begin;
+    std::string unit;
+  };
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string chunks = start + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string letters(1'000, 'a');
+  const std::array samples{
+    Sample{ "", letters },
+    Sample{ start, "X: " + letters + "\r\n" },
+    Sample{ start + "X: ", letters },
+    Sample{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    Sample{ "", "HTTP/1.1 103 Hints\r\nX: " + letters + "\r\n\r\n" },
+    Sample{ chunks + "0\r\n", "X: " + letters + "\r\n" },
+    Sample{ chunks + "1;", letters },
+    Sample{ chunks, "1;" + letters + "\r\nx\r\n" },
+    Sample{ chunks, "3e8\r\n" + letters + "\r\n" },
+    Sample{ start + "Content-Length: 1000000000000\r\n\r\n", letters },
+    Sample{ start + "\r\n", letters },
+  };
+  for (const Sample& sample : samples) {
+    CAPTURE(sample.begin);
+    CAPTURE(sample.unit.substr(0, 30));
+    const Received received = RespondWithoutEnd(sample.begin, sample.unit);
+    const bool isBroken = received.head == ExchangeState::Broken ||
+                          received.body.state == ExchangeState::Broken;
+    CHECK(isBroken);
+    CHECK(sentBytes < kMostSentBytes);
+  }
+  CHECK(IdleCount() == 0);
+}
+
 } // namespace gypsum::tests
