Bound the memory of response bodies over all requests

Cause: each response could hold 16 MB, and twice that where it was copied: 20 at a time exceed a gateway of 260 MB. Change: bodies above 64 KB share 32 MB; what finds no room is a broken response. The body is moved to the client's response in place of copied, and bodies that are read for the sake of the connection only are bounded at 64 KB. Result: the new test holds 20 bodies of 8 MB: at most 4 fit, a short one is read beside them, and the budget is whole again afterwards; before, all 20 were held.

--- a/drivers/edge/backend_exchange.cpp
+++ b/drivers/edge/backend_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxFramingBytes = 65'536;
 constexpr std::size_t kMaxFramingRatio = 8;
 constexpr std::size_t kPartBytes = 16'384;
+/** Shorter bodies don't count against the budget of all bodies. */
+constexpr std::size_t kFreeBodyBytes = 65'536;
 constexpr unsigned kFirstFinalStatus = 200;
 
 } // namespace
@@ -63,6 +65,7 @@
 BackendExchange::BackendExchange(BackendPool& aPool, std::string aAddress)
   : pool_(aPool)
   , address_(std::move(aAddress))
+  , heldBytes_(aPool.BodyBudget())
 {
 }
 
@@ -205,7 +208,9 @@
     rest.bytes.append(part.bytes);
     rest.isEnd = part.isEnd;
     rest.state = part.state;
-    if (rest.bytes.size() > aMaxBytes) {
+    const bool hasRoom = rest.bytes.size() <= kFreeBodyBytes ||
+                         heldBytes_.Reserve(rest.bytes.size());
+    if (rest.bytes.size() > aMaxBytes || !hasRoom) {
       isEndless_ = true;
       rest.state = ExchangeState::Broken;
     }
--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -83,7 +83,9 @@
   bool IsEndless() const { return isEndless_; }
   /** Reads more of the body; waits for at least one byte or the end. */
   boost::asio::awaitable<BodyPart> ReadSome(Instant aDeadline);
-  /** Reads the rest of the body; `Broken` if it is longer than the limit. */
+  /** Reads the rest of the body; `Broken` if it is longer than the limit, or
+   * than what the other bodies leave of `BackendPool::BodyBudget`. The bytes
+   * count until the exchange ends. */
   boost::asio::awaitable<BodyPart> ReadRest(Instant aDeadline,
                                             std::size_t aMaxBytes);
 
@@ -108,6 +110,7 @@
     boost::beast::http::response_parser<boost::beast::http::buffer_body>>
     parser_;
   ConnectionEnd connectionEnd_ = ConnectionEnd::Open;
+  ByteReservation heldBytes_;
   std::size_t bodyBytes_ = 0;
   std::size_t framingBytes_ = 0; ///< See `kMaxFramingBytes`.
   bool isEndless_ = false;
--- a/drivers/edge/backend_pool.h
+++ b/drivers/edge/backend_pool.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/time.h"
+#include "drivers/edge/byte_budget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -63,8 +65,15 @@
    * 1 s, beyond this timeout. */
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 
+  /** Bytes of long response bodies that are held at a time. While a body grows,
+   * its buffer takes up to three times its bytes. */
+  static constexpr std::size_t kBodyBudget = 33'554'432;
+
   explicit BackendPool(boost::asio::any_io_executor aExecutor);
 
+  /** Shared by the bodies of all exchanges. */
+  ByteBudget& BodyBudget() { return bodyBudget_; }
+
   /** Returns an idle or a new connection; null if connecting fails or times
    * out. */
   boost::asio::awaitable<BackendConnectionPtr> Acquire(std::string aAddress,
@@ -87,6 +96,7 @@
   boost::asio::any_io_executor executor_;
   std::map<std::string, std::vector<BackendConnectionPtr>, std::less<>> idle_;
   std::uint64_t opened_ = 0;
+  ByteBudget bodyBudget_{ kBodyBudget };
 };
 
 } // namespace gypsum
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 16'777'216;
+/** Of a body that is read for the sake of its connection only. */
+constexpr std::size_t kMaxSkippedBytes = 65'536;
 /** Responses to other attempts that are skipped on one connection. */
 constexpr int kMaxSkippedResponses = 2;
 /** No send starts with less time left than this. */
@@ -363,8 +365,8 @@
     if (!isForThisAttempt && skipped < kMaxSkippedResponses) {
       // A late second response to an earlier request; the one to this attempt
       // follows.
-      const BodyPart skippedBody =
-        co_await aExchange.ReadRest(attempt_.responseDeadline, kMaxBodyBytes);
+      const BodyPart skippedBody = co_await aExchange.ReadRest(
+        attempt_.responseDeadline, kMaxSkippedBytes);
       if (skippedBody.state == ExchangeState::Ok) {
         continue;
       }
@@ -376,8 +378,8 @@
     }
     limits_.OnResponse(*aChoice.backend, head.limit);
     if (head.isNotExecuted) {
-      const BodyPart rest =
-        co_await aExchange.ReadRest(attempt_.responseDeadline, kMaxBodyBytes);
+      const BodyPart rest = co_await aExchange.ReadRest(
+        attempt_.responseDeadline, kMaxSkippedBytes);
       aExchange.Finish(head.IdleTime(),
                        rest.state == ExchangeState::Ok && !head.closes);
       co_return SendResult{
@@ -436,7 +438,7 @@
   BackendExchange& aExchange,
   const BackendResponseHead& aHead)
 {
-  const BodyPart body =
+  BodyPart body =
     co_await aExchange.ReadRest(attempt_.responseDeadline, kMaxBodyBytes);
   StoreResponseEnd(aExchange);
   if (body.state != ExchangeState::Ok) {
@@ -447,7 +449,7 @@
   ReportFirstPart();
   EdgeResponse response{ aHead.status,
                          FieldsForClient(aExchange.GetHead()),
-                         body.bytes };
+                         std::move(body.bytes) };
   aExchange.Finish(aHead.IdleTime(), !aHead.closes);
   if (hasResponseBegun_) {
     co_return SendResult{
--- a/tests/gateway/test_edge.cpp
+++ b/tests/gateway/test_edge.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <atomic>
+#include <future>
 #include <memory>
 
 namespace gypsum::tests {
@@ -101,8 +102,10 @@
     unsigned status = 0;
   };
 
-  static boost::asio::awaitable<Received> RunExchange(BackendPool& aPool,
-                                                      std::string aAddress)
+  static boost::asio::awaitable<Received> RunExchange(
+    BackendPool& aPool,
+    std::string aAddress,
+    std::size_t aMaxMegabytes = 1)
   {
     Received received;
     BackendExchange exchange(aPool, aAddress);
@@ -121,7 +124,8 @@
     received.head = co_await exchange.ReadHead(deadline);
     if (received.head == ExchangeState::Ok) {
       received.status = exchange.GetHead().result_int();
-      received.body = co_await exchange.ReadRest(deadline, 1'000'000);
+      received.body = co_await exchange.ReadRest(deadline + seconds(4),
+                                                 aMaxMegabytes * 1'000'000);
       exchange.Finish(std::nullopt, true);
     }
     co_return received;
@@ -423,4 +427,44 @@
   CHECK(IdleCount() == 0);
 }
 
+TEST_CASE_FIXTURE(ExchangeFixture,
+                  "[Edge] many long bodies at a time are held up to a budget, "
+                  "and short ones are read beside them")
+{
+  constexpr std::size_t kBodies = 20;
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: ";
+  const std::string longBody(8'000'000, 'a');
+  std::vector<std::future<Received>> bodies;
+  std::vector<RawSocket> sockets;
+  const auto begin = [&] {
+    bodies.push_back(boost::asio::co_spawn(loop.Context(),
+                                           RunExchange(pool, Address(2), 64),
+                                           boost::asio::use_future));
+    sockets.push_back(server.Accept());
+    sockets.back().ReadMessage();
+  };
+  for (std::size_t body = 0; body < kBodies; ++body) {
+    begin();
+    sockets.back().Send(start + std::to_string(longBody.size() + 1) +
+                        "\r\n\r\n" + longBody);
+  }
+  begin();
+  sockets.back().Send(start + "2\r\n\r\nok");
+  CHECK(bodies.back().get().body.bytes == "ok");
+  const std::size_t left = loop.Run([&] { return pool.BodyBudget().Left(); });
+  CHECK(left < BackendPool::kBodyBudget);
+  for (RawSocket& socket : sockets) {
+    socket.Send("b");
+  }
+  std::size_t whole = 0;
+  for (std::size_t body = 0; body < kBodies; ++body) {
+    const Received received = bodies[body].get();
+    whole += received.body.state == ExchangeState::Ok ? 1 : 0;
+  }
+  CHECK(whole > 0);
+  CHECK(whole * longBody.size() <= BackendPool::kBodyBudget);
+  CHECK(loop.Run([&] { return pool.BodyBudget().Left(); }) ==
+        BackendPool::kBodyBudget);
+}
+
 } // namespace gypsum::tests
