Avoid servers whose responses have no end

Change: a response that is given up for its bytes makes its server suspect for 2 s, twice as long each time up to 30 s, whatever else it serves meanwhile; gateways tell each other in their loads. Result: a new test in virtual time covers the avoidance, which did not exist before. A new test with an endless event at one in three replicas passes, but also without this change: there the server's other failures are penalty enough.

--- a/core/gateway/backend_loads.cpp
+++ b/core/gateway/backend_loads.cpp
@@ -104,6 +104,14 @@
     local.backoff = Duration{};
     local.suspectUntil = aNow;
   }
+  if (aOutcome == SendOutcome::Endless) {
+    // An avoidance that ended long ago says little of the next one.
+    const bool isRepeated = aNow < local.avoidedUntil + kMaxAvoidance;
+    local.avoidance = isRepeated && local.avoidance.count() > 0
+                        ? std::min(local.avoidance * 2, kMaxAvoidance)
+                        : kInitialAvoidance;
+    local.avoidedUntil = aNow + local.avoidance;
+  }
   if (aOutcome == SendOutcome::Unreachable) {
     local.backoff = local.backoff.count() == 0
                       ? kInitialBackoff
@@ -158,8 +166,7 @@
     estimate.latencyRatio =
       Decayed(local.latencyRatio, 1.0, local.latencyRatioAt, aNow);
     estimate.failures = Decayed(local.failures, 0.0, local.failuresAt, aNow);
-    estimate.isSuspect =
-      aNow < local.suspectUntil || local.IsUnresponsive(aNow);
+    estimate.isSuspect = aNow < local.suspectUntil || local.IsToAvoid(aNow);
   }
   const auto tokensIn = [](Duration aTime) {
     return std::chrono::duration<double, std::milli>(aTime).count() *
@@ -196,11 +203,11 @@
 {
   std::vector<BackendLoad> loads;
   for (const auto& [id, local] : localLoads_) {
-    if (local.running > 0) {
+    if (local.running > 0 || local.IsToAvoid(aNow)) {
       loads.push_back({ id,
                         local.running,
                         local.pendingPromptTokens,
-                        local.IsUnresponsive(aNow) });
+                        local.IsToAvoid(aNow) });
     }
   }
   return loads;
--- a/core/gateway/backend_loads.h
+++ b/core/gateway/backend_loads.h
@@ -18,7 +18,8 @@
   std::uint32_t running = 0; ///< Requests sent and not yet ended.
   /** Tokens of prompts for which no event has been received. */
   std::uint64_t pendingPromptTokens = 0;
-  bool isUnresponsive = false; ///< A response is overdue.
+  /** A response is overdue, or one had no end. */
+  bool isUnresponsive = false;
 };
 
 /** Estimated load and condition of one backend server, over all gateways. */
@@ -38,6 +39,7 @@
   Failed,      ///< Error response, rejection or broken connection.
   Unreachable, ///< No connection, or no response within the timeout.
   Abandoned,   ///< Cancelled by the gateway or the client; not counted.
+  Endless,     ///< More bytes than any response has; the server is avoided.
 };
 
 /**
@@ -60,6 +62,11 @@
   static constexpr Duration kInitialBackoff = std::chrono::milliseconds(300);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(2'000);
 
+  /** The same after a response without end; a server that serves other requests
+   * meanwhile is avoided all the same. */
+  static constexpr Duration kInitialAvoidance = std::chrono::seconds(2);
+  static constexpr Duration kMaxAvoidance = std::chrono::seconds(30);
+
   /**
    * A server with running requests is unresponsive after twice the expected
    * time plus this margin, which covers two gaps between stream events.
@@ -104,7 +111,8 @@
   void RemovePeer(std::string_view aPeer);
 
   LoadEstimate Estimate(std::string_view aId, Instant aNow) const;
-  /** Load of this gateway, to report to its peers; omits idle servers. */
+  /** Load of this gateway, to report to its peers; omits idle servers, unless
+   * they are to be avoided. */
   std::vector<BackendLoad> OwnLoads(Instant aNow) const;
   /** Drops the state of idle servers that are not in the list. */
   void Retain(std::span<const std::string_view> aIds);
@@ -120,10 +128,17 @@
     Instant failuresAt{};
     Duration backoff{};
     Instant suspectUntil{};
+    Duration avoidance{};
+    Instant avoidedUntil{};
     Instant lastActivityAt{};   ///< Last data, or the first send after idle.
     Duration maxExpectedTime{}; ///< Largest expected time since then.
 
     bool IsUnresponsive(Instant aNow) const;
+    /** Whether peers should avoid it too. */
+    bool IsToAvoid(Instant aNow) const
+    {
+      return aNow < avoidedUntil || IsUnresponsive(aNow);
+    }
   };
   struct PeerReport
   {
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -72,6 +72,17 @@
   return JoinWithCommas(names);
 }
 
+SendOutcome BrokenOutcome(const BackendExchange& aExchange)
+{
+  return aExchange.IsEndless() ? SendOutcome::Endless : SendOutcome::Failed;
+}
+
+std::string_view BrokenReason(const BackendExchange& aExchange,
+                              std::string_view aOtherwise)
+{
+  return aExchange.IsEndless() ? "endless" : aOtherwise;
+}
+
 } // namespace
 
 SendLoop::SendLoop(GatewayState& aState,
@@ -352,11 +363,12 @@
     if (readState != ExchangeState::Ok) {
       responseEnd_.connection = NameOf(aExchange.GetConnectionEnd());
       const bool isUnresponsive = readState == ExchangeState::TimedOut;
-      co_return SendResult{ SendFailure::Lost,
-                            isUnresponsive ? SendOutcome::Unreachable
-                                           : SendOutcome::Failed,
-                            isUnresponsive ? "no-answer" : "broken",
-                            true };
+      co_return SendResult{
+        SendFailure::Lost,
+        isUnresponsive ? SendOutcome::Unreachable : BrokenOutcome(aExchange),
+        isUnresponsive ? "no-answer" : BrokenReason(aExchange, "broken"),
+        true
+      };
     }
     const BackendResponseHead head =
       DecodeBackendResponseHead(aExchange.GetHead());
@@ -442,9 +454,10 @@
     co_await aExchange.ReadRest(attempt_.responseDeadline, kMaxBodyBytes);
   StoreResponseEnd(aExchange);
   if (body.state != ExchangeState::Ok) {
-    co_return SendResult{
-      SendFailure::Lost, SendOutcome::Failed, "torn", true
-    };
+    co_return SendResult{ SendFailure::Lost,
+                          BrokenOutcome(aExchange),
+                          BrokenReason(aExchange, "torn"),
+                          true };
   }
   ReportFirstPart();
   EdgeResponse response{ aHead.status,
@@ -533,7 +546,7 @@
       aExchange.Cancel();
       co_return SendResult{ hasResponseBegun_ ? SendFailure::Interrupted
                                               : SendFailure::Lost,
-                            SendOutcome::Failed,
+                            SendOutcome::Endless,
                             "endless-event",
                             true };
     }
@@ -541,8 +554,8 @@
       const bool isUnresponsive = part.state == ExchangeState::TimedOut;
       co_return SendResult{
         hasResponseBegun_ ? SendFailure::Interrupted : SendFailure::Lost,
-        isUnresponsive ? SendOutcome::Unreachable : SendOutcome::Failed,
-        isUnresponsive ? "silent" : "broken-stream",
+        isUnresponsive ? SendOutcome::Unreachable : BrokenOutcome(aExchange),
+        isUnresponsive ? "silent" : BrokenReason(aExchange, "broken-stream"),
         true
       };
     }
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -315,6 +315,9 @@
       Crash(crash_.downTime);
       co_return false;
     }
+    while (faults_.isEndless && isOpen) {
+      isOpen = co_await writer.WriteBody(std::string(16'384, 'x'));
+    }
     const std::string text = textOf(event);
     if (isTruncated && event >= truncatedEvent) {
       co_await writer.WriteBody(
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -52,6 +52,7 @@
   double truncate = 0.0;     ///< Ends the connection within the response.
   double hang = 0.0;         ///< Executes, then responds after all timeouts.
   double sendExtraResponse = 0.0; ///< Sends each response twice.
+  bool isEndless = false;         ///< Sends an event without end.
   bool isUnresponsive = false; ///< Blocks requests and streams until cleared.
   bool closesAfterResponse = false; ///< Closes the connection after a response.
   double delayFactor = 1.0;         ///< Multiplies all processing times.
--- a/tests/cell/test_gateway_process.cpp
+++ b/tests/cell/test_gateway_process.cpp
@@ -656,4 +656,27 @@
   }));
 }
 
+TEST_CASE_FIXTURE(CellFixture,
+                  "[Gateway] a server whose responses have no end is avoided, "
+                  "and others serve")
+{
+  cell.Run([&] { cell.ModelReplicas()[0]->Faults().isEndless = true; });
+  constexpr int kRequests = 90;
+  int served = 0;
+  int atEndless = 0;
+  for (int round = 0; round < kRequests; ++round) {
+    CellRequest request = cell.MakeStreamRequest("/chat/x");
+    request.prompt = "aa" + std::to_string(round) + ":60,bb:40";
+    const CellResponse response =
+      Send(request, static_cast<std::size_t>(round) % 2);
+    served += IsCompleteStream(response.body, request.attemptId) ? 1 : 0;
+    for (const auto& execution : cell.ExecutionsOf(request.attemptId)) {
+      atEndless += execution.replica == "model-0" ? 1 : 0;
+    }
+  }
+  CHECK(atEndless > 0);
+  CHECK(atEndless * 6 <= kRequests);
+  CHECK(served + atEndless >= kRequests);
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -261,6 +261,27 @@
   }
 }
 
+TEST_CASE_FIXTURE(ChoiceFixture,
+                  "[BackendLoads] a server whose responses have no end is "
+                  "avoided by all gateways, for longer each time")
+{
+  BackendLoads peer;
+  Duration avoidance = BackendLoads::kInitialAvoidance;
+  for (int round = 0; round < 8; ++round) {
+    loads.OnSent("r0", 0, {}, now);
+    loads.OnEnded("r0", 0, SendOutcome::Endless, now);
+    loads.OnEnded("r0", 0, SendOutcome::Served, now);
+    CHECK(loads.Estimate("r0", now).isSuspect);
+    peer.OnPeerReport("gateway", loads.OwnLoads(now), now);
+    CHECK(peer.Estimate("r0", now).isSuspect);
+    now += avoidance - milliseconds(1);
+    CHECK(loads.Estimate("r0", now).isSuspect);
+    now += milliseconds(1);
+    CHECK_FALSE(loads.Estimate("r0", now).isSuspect);
+    avoidance = std::min(avoidance * 2, BackendLoads::kMaxAvoidance);
+  }
+}
+
 TEST_CASE(
   "[PrefixCacheIndex] a part counts only if all parts before it are cached")
 {
