Give the soak crashing prompt parts, server limits and endless responses

Change: its fakes name limits, crash on a part of prompts and send events without end, at once and beside kills, stops and freezes of gateways; it checks late sends and limits over the gateways that were in touch. The own interface's client bounds a reply in bytes, with a test.

--- a/drivers/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -24,6 +24,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::size_t kReadBufferBytes = 16'384;
+/** A longer reply could not be passed on: it fills a message between peers. */
+constexpr std::size_t kMaxReplyBytes = 96UL * 1024 * 1024;
 constexpr std::string_view kConnectFailureText = "while trying to connect";
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
@@ -121,6 +123,7 @@
   {
     const cxxtools::http::Request request = Convert(aRequest);
     isFinished_ = false;
+    isTooLong_ = false;
     body_.clear();
     if (aUse == ConnectionUse::Fresh) {
       // Do not connect here: the library sends a request only once if it opened
@@ -137,6 +140,11 @@
         std::chrono::ceil<std::chrono::milliseconds>(aDeadline - Clock::now());
       selector_.wait(
         cxxtools::Milliseconds(std::max<std::int64_t>(remaining.count(), 0)));
+      if (isTooLong_) {
+        throw std::runtime_error("expected at most " +
+                                 std::to_string(kMaxReplyBytes) +
+                                 " bytes of a reply, got more");
+      }
       if (!isFinished_) {
         ThrowIfAbortedOrExpired(aDeadline);
       }
@@ -164,7 +172,11 @@
     const auto maxCount = std::min<std::streamsize>(
       in.in_avail(), static_cast<std::streamsize>(buffer.size()));
     const std::streamsize count = in.sgetn(buffer.data(), maxCount);
-    body_.append(buffer.data(), static_cast<std::size_t>(count));
+    // What is too much is dropped, until `Execute` closes the connection.
+    isTooLong_ = isTooLong_ || body_.size() > kMaxReplyBytes;
+    if (!isTooLong_) {
+      body_.append(buffer.data(), static_cast<std::size_t>(count));
+    }
     return static_cast<std::size_t>(count);
   }
 
@@ -172,6 +184,7 @@
   cxxtools::http::Client client_;
   std::string body_;
   bool isFinished_ = false;
+  bool isTooLong_ = false;
   std::atomic<bool> isAborted_ = false;
 };
 
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -197,7 +197,7 @@
 {
   const ClientLimits limits;
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
-    arrivals_.push_back(Now().steady);
+    arrivals_.push_back({ Header(*aClient, "Attempt-Id"), Now().steady });
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -32,6 +32,13 @@
   Instant at{};
 };
 
+/** A request that has reached a replica, executed or not. */
+struct CellArrival
+{
+  std::string attemptId; ///< Empty for calls about pieces.
+  Instant at{};
+};
+
 /** A part of prompts that ends a replica which begins to respond to it. */
 struct CellCrash
 {
@@ -101,8 +108,8 @@
   {
     limit_ = std::move(aLimit);
   }
-  /** Times at which requests of any kind have arrived. */
-  const std::vector<Instant>& Arrivals() const { return arrivals_; }
+  /** Requests of any kind that have arrived. */
+  const std::vector<CellArrival>& Arrivals() const { return arrivals_; }
   /** Times of all crashes so far. */
   const std::vector<Instant>& Crashes() const { return crashes_; }
   CellFaults& Faults() { return faults_; }
@@ -154,7 +161,7 @@
   CellFaults faults_;
   CellCrash crash_;
   std::optional<std::string> limit_;
-  std::vector<Instant> arrivals_;
+  std::vector<CellArrival> arrivals_;
   std::vector<Instant> crashes_;
   bool isDown_ = false;
   std::mt19937_64 random_;
--- a/tests/cell/limit_check.h
+++ b/tests/cell/limit_check.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "tests/cell/cell_replica.h"
 
 #include <algorithm>
 #include <chrono>
@@ -21,20 +22,22 @@
          5.0;
 }
 
-/** Most arrivals in a window, of those after a time. */
-inline std::size_t MostArrivals(std::span<const Instant> aArrivals,
-                                Instant aFrom)
+/** Most arrivals in a window that lies between two times. */
+inline std::size_t MostArrivals(std::span<const CellArrival> aArrivals,
+                                Instant aFrom,
+                                Instant aUntil = Instant::max())
 {
   std::size_t most = 0;
-  for (const Instant begin : aArrivals) {
-    if (begin >= aFrom) {
-      most = std::max(most,
-                      static_cast<std::size_t>(
-                        std::ranges::count_if(aArrivals, [&](Instant aArrival) {
-                          return aArrival >= begin &&
-                                 aArrival < begin + kLimitWindow;
-                        })));
+  for (const CellArrival& first : aArrivals) {
+    if (first.at < aFrom || first.at + kLimitWindow > aUntil) {
+      continue;
     }
+    most = std::max(most,
+                    static_cast<std::size_t>(std::ranges::count_if(
+                      aArrivals, [&](const CellArrival& aArrival) {
+                        return aArrival.at >= first.at &&
+                               aArrival.at < first.at + kLimitWindow;
+                      })));
   }
   return most;
 }
--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -1,6 +1,9 @@
 #include "tests/cell/soak.h"
 
+#include "core/hash.h"
 #include "drivers/clock.h"
+#include "tests/cell/crash_check.h"
+#include "tests/cell/limit_check.h"
 #include "tests/cell/stream_check.h"
 #include "tests/support/wait.h"
 
@@ -33,6 +36,9 @@
 constexpr std::uint64_t kMaxMemoryKb = 196'608;
 constexpr int kClients = 6;
 const std::set<unsigned> kNotExecutedStatuses{ 503, 429, 408, 421 };
+constexpr const char* kCrashingPart = "bad0";
+/** One of so many streams has the part. */
+constexpr std::uint64_t kStreamsPerCrashingPart = 5;
 
 std::uint64_t ResidentMemoryKb(pid_t aProcess)
 {
@@ -54,6 +60,7 @@
 Soak::Soak(std::uint64_t aSeed, CellSize aSize, seconds aFaultDuration)
   : random_(aSeed)
   , framingRandom_(aSeed)
+  , hardshipRandom_(aSeed)
   , cell_(aSize, aSeed)
   , faultDuration_(aFaultDuration)
 {
@@ -104,6 +111,13 @@
     soakRequest.request.prompt =
       "aa" + std::to_string(aRandom() % 20) + ":60,bb:40";
   }
+  const bool hasCrashingPart =
+    isPartCrashing_ && soakRequest.isStream &&
+    Checksum(soakRequest.request.attemptId) % kStreamsPerCrashingPart == 0;
+  if (hasCrashingPart) {
+    soakRequest.request.prompt.insert(soakRequest.request.prompt.find(',') + 1,
+                                      std::string(kCrashingPart) + ":20,");
+  }
   soakRequest.request.apiKey = aRandom() % 2 == 0 ? "key-one" : "key-two";
   soakRequest.gateway = aRandom() % cell_.Gateways().size();
   soakRequest.disconnectsEarly = aRandom() % 25 == 0;
@@ -176,6 +190,11 @@
     return aGroup[random_() % aGroup.size()];
   };
   CellGateway& gateway = pickFrom(cell_.Gateways());
+  const auto gatewayIndex =
+    static_cast<std::size_t>(&gateway - cell_.Gateways().data());
+  const auto disturb = [&] {
+    disturbedAt_[gatewayIndex].push_back(Now().steady);
+  };
   const auto replicas = cell_.Replicas();
   CellReplica& replica = *replicas[random_() % replicas.size()];
   const double chance = 0.05 + 0.3 * static_cast<double>(random_() % 100) / 100;
@@ -186,18 +205,22 @@
   switch (random_() % 18) {
     case 0:
       RecordFault("gateway-kill");
+      disturb();
       gateway.process.reset();
       cell_.StartGateway(gateway);
       break;
     case 1:
       RecordFault("gateway-term");
+      disturb();
       gateway.process->Signal(SIGTERM);
       break;
     case 2:
       RecordFault("gateway-pause");
+      disturb();
       gateway.process->Signal(SIGSTOP);
       std::this_thread::sleep_for(milliseconds(200 + random_() % 1'500));
       gateway.process->Signal(SIGCONT);
+      disturb();
       break;
     case 3:
       RecordFault("gateway-hup");
@@ -289,11 +312,64 @@
   for (CellGateway& gateway : cell_.Gateways()) {
     // The platform restarts a process that has exited.
     if (!gateway.process->IsRunning()) {
+      disturbedAt_[static_cast<std::size_t>(&gateway - cell_.Gateways().data())]
+        .push_back(Now().steady);
       cell_.StartGateway(gateway);
     }
   }
 }
 
+void Soak::InjectHardship()
+{
+  const Instant now = Now().steady;
+  switch (hardshipRandom_() % 6) {
+    case 0:
+      RecordFault("crashing-part");
+      isPartCrashing_ = true;
+      cell_.Run([&] {
+        for (auto& replica : cell_.ModelReplicas()) {
+          replica->SetCrash({ kCrashingPart, 0, milliseconds(800) });
+        }
+      });
+      break;
+    case 1:
+      RecordFault("replica-endless");
+      cell_.Run([&] {
+        auto& replicas = cell_.ModelReplicas();
+        replicas[hardshipRandom_() % replicas.size()]->Faults().isEndless =
+          true;
+      });
+      break;
+    case 2:
+    case 3: {
+      constexpr std::array kLimits{ 0.5, 1.0, 2.5 };
+      RecordFault("server-limit");
+      const auto replicas = cell_.Replicas();
+      CellReplica* const server = replicas[hardshipRandom_() % replicas.size()];
+      const double limit = kLimits[hardshipRandom_() % kLimits.size()];
+      for (NamedLimit& named : limits_) {
+        named.until =
+          named.server == server ? std::min(named.until, now) : named.until;
+      }
+      cell_.Run([&] { server->SetLimit(std::to_string(limit)); });
+      limits_.push_back({ server, limit, now });
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+bool Soak::IsInTouch(std::size_t aGateway, Instant aAt) const
+{
+  const auto found = disturbedAt_.find(aGateway);
+  return found == disturbedAt_.end() ||
+         std::ranges::none_of(found->second, [&](Instant aDisturbance) {
+           return aDisturbance <= aAt &&
+                  aAt < aDisturbance + kGuiltyPartContact;
+         });
+}
+
 void Soak::FaultLoop()
 {
   const Instant end = Now().steady + faultDuration_;
@@ -304,6 +380,7 @@
       InjectFault();
       std::this_thread::sleep_for(milliseconds(random_() % 150));
     }
+    InjectHardship();
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
@@ -332,6 +409,8 @@
   FaultLoop();
   isFinished_ = true;
   std::ranges::for_each(clients, &std::thread::join);
+  CheckCrashingPart();
+  CheckLimits();
   CheckRecovery();
   CheckRequests();
   CheckDrains();
@@ -341,12 +420,65 @@
   return report_;
 }
 
+void Soak::CheckCrashingPart()
+{
+  std::map<std::string, std::size_t> gateways;
+  for (const SoakRequest& request : requests_) {
+    gateways[request.request.attemptId] = request.gateway;
+  }
+  const std::size_t late = cell_.Run([&] {
+    std::vector<CellExecution> inTouch;
+    std::ranges::copy_if(cell_.Executions(),
+                         std::back_inserter(inTouch),
+                         [&](const CellExecution& aExecution) {
+                           return IsInTouch(gateways[aExecution.attemptId],
+                                            aExecution.at);
+                         });
+    const auto crashes = CrashTimes(cell_.ModelReplicas());
+    report_.crashes = crashes.size();
+    return SendsAfterFifthCrash(inTouch, crashes, kCrashingPart);
+  });
+  if (late > kMaxLateSends) {
+    report_.violations.push_back("a part that crashes servers was sent " +
+                                 std::to_string(late) + " times too late");
+  }
+}
+
+void Soak::CheckLimits()
+{
+  std::map<std::string, std::size_t> gateways;
+  for (const SoakRequest& request : requests_) {
+    gateways[request.request.attemptId] = request.gateway;
+  }
+  for (const NamedLimit& limit : limits_) {
+    const std::size_t most = cell_.Run([&] {
+      std::vector<CellArrival> inTouch;
+      std::ranges::copy_if(limit.server->Arrivals(),
+                           std::back_inserter(inTouch),
+                           [&](const CellArrival& aArrival) {
+                             const auto gateway =
+                               gateways.find(aArrival.attemptId);
+                             return gateway != gateways.end() &&
+                                    IsInTouch(gateway->second, aArrival.at);
+                           });
+      return MostArrivals(inTouch, limit.from + kLimitContact, limit.until);
+    });
+    if (static_cast<double>(most) > MostWithin(limit.perSecond)) {
+      report_.violations.push_back(
+        limit.server->Id() + " got " + std::to_string(most) +
+        " requests in 4 s, with a limit of " + std::to_string(limit.perSecond));
+    }
+  }
+}
+
 void Soak::CheckRecovery()
 {
   cell_.Run([&] {
     cell_.Store().SetMode(StoreMode::Up);
     for (CellReplica* const replica : cell_.Replicas()) {
       replica->Faults() = {};
+      replica->SetCrash({});
+      replica->SetLimit(std::nullopt);
       if (drainedAt_.contains(replica->Id())) {
         // Replaces the drained server by a new incarnation of the same id.
         replica->Restart();
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -38,6 +38,7 @@
   std::size_t executions = 0;
   std::size_t resumes = 0;          ///< Streams that clients took up again.
   std::size_t continuedResumes = 0; ///< Of these, those that went on.
+  std::size_t crashes = 0;          ///< Of servers, on a part of a prompt.
 };
 
 /**
@@ -68,12 +69,22 @@
   void CheckRequests();
   void CheckDrains();
   void CheckRetryBudget();
+  void CheckCrashingPart();
+  void CheckLimits();
   void CheckRecovery();
+  /** Makes servers name limits, crash on a part, or respond without end. */
+  void InjectHardship();
+  /** Whether a gateway ran undisturbed for the time in which gateways learn
+   * from each other. */
+  bool IsInTouch(std::size_t aGateway, Instant aAt) const;
   void CheckMemory();
   void RecordViolation(const std::string& aRule, const SoakRequest& aRequest);
 
   std::mt19937_64 random_;
-  std::mt19937_64 framingRandom_; ///< Keeps the schedule of older seeds.
+  // Later kinds of faults have their own sources, so that the schedules of
+  // older seeds stay as they were.
+  std::mt19937_64 framingRandom_;
+  std::mt19937_64 hardshipRandom_;
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
@@ -81,6 +92,18 @@
   std::vector<SoakRequest> requests_;
   std::map<std::string, Instant>
     drainedAt_; ///< Time of the first drain notice, by replica id.
+  /** A limit that a server names, until it names another or none. */
+  struct NamedLimit
+  {
+    CellReplica* server = nullptr;
+    double perSecond = 0.0;
+    Instant from{};
+    Instant until = Instant::max();
+  };
+
+  std::vector<NamedLimit> limits_;
+  std::atomic<bool> isPartCrashing_ = false;
+  std::map<std::size_t, std::vector<Instant>> disturbedAt_; ///< By gateway.
   Instant lastStoreFault_{};
   SoakReport report_;
 };
--- a/tests/cell/soak_main.cpp
+++ b/tests/cell/soak_main.cpp
@@ -20,7 +20,8 @@
   const auto report = soak.Run();
   std::cout << "seed " << aSeed << ": " << report.requests << " requests, "
             << report.executions << " executions, " << report.continuedResumes
-            << " of " << report.resumes << " resumes went on,";
+            << " of " << report.resumes << " resumes went on, "
+            << report.crashes << " crashes,";
   for (const auto& [status, count] : report.statuses) {
     std::cout << " " << status << ":" << count;
   }
--- a/tests/cell/test_server_limit.cpp
+++ b/tests/cell/test_server_limit.cpp
@@ -89,10 +89,9 @@
   double RateAt(const CellReplica& aReplica, Instant aFrom)
   {
     return cell.Run([&] {
-      const auto count =
-        std::ranges::count_if(aReplica.Arrivals(), [&](Instant aArrival) {
-          return aArrival >= aFrom;
-        });
+      const auto count = std::ranges::count_if(
+        aReplica.Arrivals(),
+        [&](const CellArrival& aArrival) { return aArrival.at >= aFrom; });
       return static_cast<double>(count) /
              std::chrono::duration<double>(Now().steady - aFrom).count();
     });
--- a/tests/drivers/test_http_client.h
+++ b/tests/drivers/test_http_client.h
@@ -261,6 +261,24 @@
   }
 }
 
+TEST_CASE_FIXTURE(HttpClientFixture,
+                  "[HttpClient] a reply without end is given up by its bytes")
+{
+  auto call = Call(ConnectionUse::Fresh);
+  const RawSocket server = listener_.Accept();
+  server.ReadMessage();
+  server.Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
+  const std::string part(1'000'000, 'a');
+  int parts = 0;
+  while (parts < 1'000 && server.Send(part)) {
+    ++parts;
+  }
+  CHECK(parts < 1'000);
+  const HttpCallResult result = call.get();
+  CHECK(result.wasSent);
+  CHECK_FALSE(result.reply);
+}
+
 TEST_CASE_FIXTURE(HttpClientFixture,
                   "[HttpClient] aborting a call closes the connection at once")
 {
