Keep a limit while its server is listed

Cause: a limit that no response had confirmed for a minute was forgotten, so that a burst after a quiet minute went to the server as if it had none. Result: the unit test in virtual time holds a limit for ten minutes without a response; before, it ended after one.

--- a/core/gateway/backend_limits.cpp
+++ b/core/gateway/backend_limits.cpp
@@ -19,8 +19,7 @@
 
 bool BackendLimits::Merge(const BackendLimit& aLimit, Instant aNow)
 {
-  return aLimit.age < kMemory &&
-         Update({ aLimit.backend, aLimit.startedMs },
+  return Update({ aLimit.backend, aLimit.startedMs },
                 { aLimit.isLimited, aLimit.perSecond, aNow - aLimit.age });
 }
 
@@ -85,10 +84,11 @@
   return all;
 }
 
-void BackendLimits::Expire(Instant aNow)
+void BackendLimits::Retain(std::span<const std::string_view> aIds, Instant aNow)
 {
   std::erase_if(entries_, [&](const auto& aItem) {
-    return aNow - aItem.second.at >= kMemory;
+    return aNow - aItem.second.at >= kMemory &&
+           std::ranges::find(aIds, aItem.first.first) == aIds.end();
   });
 }
 
--- a/core/gateway/backend_limits.h
+++ b/core/gateway/backend_limits.h
@@ -52,7 +52,8 @@
 class BackendLimits
 {
 public:
-  /** A limit that no response has confirmed for this long has ended. */
+  /** Words on a server that is not listed are kept for this long: the word of a
+   * peer may come before the registry. */
   static constexpr Duration kMemory = std::chrono::seconds(60);
   static constexpr Duration kAgeTolerance = std::chrono::milliseconds(100);
   /** A server that takes nothing is asked now and then whether that holds. */
@@ -75,9 +76,10 @@
   BackendLimit WordOf(std::string_view aBackend,
                       std::uint64_t aStartedMs,
                       Instant aNow) const;
-  /** All words that have not expired, also of limits that have ended. */
+  /** All words, also of limits that have ended. */
   std::vector<BackendLimit> All(Instant aNow) const;
-  void Expire(Instant aNow);
+  /** Drops old words on servers that are not in the list. */
+  void Retain(std::span<const std::string_view> aIds, Instant aNow);
 
 private:
   using Key = std::pair<std::string, std::uint64_t>;
--- a/servers/gateway/limit_service.cpp
+++ b/servers/gateway/limit_service.cpp
@@ -209,7 +209,6 @@
 void LimitService::Expire()
 {
   const Instant now = Now().steady;
-  state_.limits.Expire(now);
   allotment_.Expire(now);
   blocks_.Expire(now);
   std::erase_if(toldAt_, [&](const auto& aItem) {
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -130,6 +130,7 @@
     known.push_back(entry.id);
   }
   state_.loads.Retain(known);
+  state_.limits.Retain(known, Now().steady);
 }
 
 } // namespace gypsum
--- a/tests/gateway/test_backend_limits.cpp
+++ b/tests/gateway/test_backend_limits.cpp
@@ -115,12 +115,16 @@
 }
 
 TEST_CASE_FIXTURE(LimitFixture,
-                  "[BackendLimits] a limit that no response confirms ends")
+                  "[BackendLimits] a limit holds without further responses, "
+                  "until its server has gone")
 {
   limits.OnStatement(server, Limit(1.0), now);
-  limits.Expire(now + BackendLimits::kMemory - seconds(1));
+  const std::array<std::string_view, 1> listed{ "i-1" };
+  limits.Retain(listed, now + BackendLimits::kMemory * 10);
+  CHECK(limits.Find(server) == 1.0);
+  limits.Retain({}, now + BackendLimits::kMemory - seconds(1));
   CHECK(limits.Find(server));
-  limits.Expire(now + BackendLimits::kMemory);
+  limits.Retain({}, now + BackendLimits::kMemory);
   CHECK_FALSE(limits.Find(server));
   CHECK(limits.All(now).empty());
 }
