Split the detection of crashes from what follows from them

Change: servers/gateway/crash_detector notices crashes and survivals and calls back; PromptRequest carries the version that must serve. A crash may name 128 parts, above what one server begins at a time.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -28,8 +28,9 @@
                                        std::string_view aKind,
                                        const Entry& aEntry)
 {
-  RegistryEvent event{ std::string(aId), std::string(aKind), "", "" };
+  RegistryEvent event{ std::string(aId), std::string(aKind), "", "", 0 };
   if (aEntry.record) {
+    event.startedMs = aEntry.record->startedMs;
     event.service = aEntry.record->service;
     event.version = aEntry.record->version;
   }
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -54,6 +54,7 @@
   std::string kind; ///< `added`, `restarted`, `draining`, `removed`, ...
   std::string service;
   std::string version; ///< Of the software; empty if the entry is unreadable.
+  std::uint64_t startedMs = 0; ///< Zero if the entry is unreadable.
 };
 
 /**
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -105,7 +105,7 @@
   /** Versions that a part has crashed until no other one may try it. */
   static constexpr std::size_t kMaxCrashedVersions = 3;
   static constexpr std::size_t kMaxCrashes = 256;
-  static constexpr std::size_t kMaxPartsPerCrash = 64;
+  static constexpr std::size_t kMaxPartsPerCrash = 128;
   static constexpr std::size_t kMaxSurvivals = 512;
 
   /** Adds what is new and matters; false if nothing does. */
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -50,6 +50,14 @@
              : std::optional<std::string_view>(resumeTarget.version);
   }
 
+  PromptRequest MakePromptRequest() const
+  {
+    const auto version = RequiredVersion();
+    return { sharedParts,
+             service->name,
+             version ? std::optional(std::string(*version)) : std::nullopt };
+  }
+
   std::string_view CustomerName() const
   {
     return customer ? std::string_view(customer->name) : std::string_view();
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -17,11 +17,6 @@
 
 namespace {
 
-/** Time after the first event until a server has survived a request. */
-constexpr Duration kSurvivalTime = std::chrono::milliseconds(300);
-/** The registry lists a crashed server as gone or restarted after a few of its
- * heartbeats. */
-constexpr Duration kConfirmationTime = std::chrono::seconds(6);
 constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
 /** Time between two requests for the reports of peers. */
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
@@ -54,13 +49,22 @@
 CrashService::CrashService(GatewayState& aState, PeerExchange& aPeers)
   : state_(aState)
   , peers_(aPeers)
+  , detector_(aState.loop, MakeHandlers())
   , random_(static_cast<std::uint_fast32_t>(aState.self.incarnation))
 {
 }
 
-CrashService::BackendKey CrashService::KeyOf(const BackendRecord& aBackend)
+CrashDetector::Handlers CrashService::MakeHandlers()
 {
-  return { aBackend.id, aBackend.startedMs };
+  return { [this](const CrashDetector::Crash& aCrash) { OnCrash(aCrash); },
+           [this](const BackendRecord& aBackend, const SharedParts& aParts) {
+             OnSurvival(aBackend, aParts);
+           },
+           [this](SendNumber aNumber) { EndTrial(aNumber); },
+           [this](Liveness aLiveness) {
+             state_.metrics.Count(
+               "liveness_probes", "result", NameOf(aLiveness));
+           } };
 }
 
 template<typename Body>
@@ -71,33 +75,32 @@
   }
 }
 
-std::vector<std::string> CrashService::VersionsOf(
-  std::string_view aService) const
+std::vector<std::string> CrashService::VersionsFor(
+  const PromptRequest& aRequest) const
 {
   std::set<std::string> versions;
-  for (const BackendPtr& backend : state_.registry.Usable(aService)) {
-    versions.insert(backend->version);
+  for (const BackendPtr& backend : state_.registry.Usable(aRequest.service)) {
+    if (!aRequest.version || backend->version == *aRequest.version) {
+      versions.insert(backend->version);
+    }
   }
   return { versions.begin(), versions.end() };
 }
 
-PromptDecision CrashService::Decide(std::span<const SharedPart> aParts,
-                                    std::string_view aService) const
+PromptDecision CrashService::Decide(const PromptRequest& aRequest) const
 {
-  if (aParts.empty() || evidence_.Verdicts().empty()) {
+  if (aRequest.parts->empty() || evidence_.Verdicts().empty()) {
     return {};
   }
   return DecidePrompt(
-    aParts, evidence_, trials_, VersionsOf(aService), Now().steady);
+    *aRequest.parts, evidence_, trials_, VersionsFor(aRequest), Now().steady);
 }
 
-asio::awaitable<PromptDecision> CrashService::AwaitTurn(
-  std::shared_ptr<const SharedParts> aParts,
-  std::string aService,
-  Instant aDeadline)
+asio::awaitable<PromptDecision> CrashService::AwaitTurn(PromptRequest aRequest,
+                                                        Instant aDeadline)
 {
   for (;;) {
-    PromptDecision decision = Decide(*aParts, aService);
+    PromptDecision decision = Decide(aRequest);
     const Instant now = Now().steady;
     if (decision.step != PromptStep::Wait || now >= aDeadline) {
       co_return decision;
@@ -112,18 +115,16 @@
 
 CrashService::SendNumber CrashService::OnSent(
   BackendPtr aBackend,
-  std::shared_ptr<const SharedParts> aParts,
+  const std::shared_ptr<const SharedParts>& aParts,
   std::vector<std::string> aSuspects)
 {
   const SendNumber number = ++lastNumber_;
   if (aParts->empty()) {
     return number;
   }
-  Send& send = sends_[number];
-  send.backend = std::move(aBackend);
-  send.parts = std::move(aParts);
+  detector_.OnSent(number, std::move(aBackend), aParts);
   if (!aSuspects.empty()) {
-    send.isTrial = true;
+    ownTrials_.insert(number);
     const PartTrial trial{
       state_.self.incarnation, number, std::move(aSuspects), false
     };
@@ -133,48 +134,35 @@
   return number;
 }
 
-void CrashService::EndTrial(SendNumber aNumber, Send& aSend)
+void CrashService::EndTrial(SendNumber aNumber)
 {
-  if (!aSend.isTrial) {
+  if (ownTrials_.erase(aNumber) == 0) {
     return;
   }
-  aSend.isTrial = false;
   const PartTrial trial{ state_.self.incarnation, aNumber, {}, true };
   trials_.OnTrial(trial, Now().steady);
   Broadcast(trial);
 }
 
-void CrashService::OnEvents(SendNumber aNumber, bool aIsComplete)
+PartSurvival CrashService::MakeSurvival(std::string aPart, std::string aVersion)
 {
-  const auto found = sends_.find(aNumber);
-  if (found == sends_.end()) {
-    return;
-  }
-  Send& send = found->second;
-  const Instant now = Now().steady;
-  if (send.firstEventAt == Instant{}) {
-    send.firstEventAt = now;
-  }
-  if (aIsComplete || now - send.firstEventAt >= kSurvivalTime) {
-    OnSurvived(send);
-    EndTrial(aNumber, send);
-    sends_.erase(found);
-  }
+  return { std::move(aPart),
+           std::move(aVersion),
+           state_.self.incarnation,
+           ++lastNumber_,
+           Duration{} };
 }
 
-void CrashService::OnSurvived(const Send& aSend)
+void CrashService::OnSurvival(const BackendRecord& aBackend,
+                              const SharedParts& aParts)
 {
   const Instant now = Now().steady;
   CrashReport report;
-  for (const SharedPart& part : *aSend.parts) {
-    const std::string& version = aSend.backend->version;
-    survivals_.Add(SurvivalName(part.name, version), now);
-    if (evidence_.StateOf(part.name, version, now) != PartState::Sound) {
-      report.survivals.push_back({ part.name,
-                                   version,
-                                   state_.self.incarnation,
-                                   ++lastNumber_,
-                                   Duration{} });
+  for (const SharedPart& part : aParts) {
+    survivals_.Add(SurvivalName(part.name, aBackend.version), now);
+    if (evidence_.StateOf(part.name, aBackend.version, now) !=
+        PartState::Sound) {
+      report.survivals.push_back(MakeSurvival(part.name, aBackend.version));
     }
   }
   if (!report.survivals.empty() && AddReport(report, "own")) {
@@ -182,102 +170,20 @@
   }
 }
 
-void CrashService::OnEnded(SendNumber aNumber)
-{
-  const auto found = sends_.find(aNumber);
-  if (found != sends_.end()) {
-    EndTrial(aNumber, found->second);
-    sends_.erase(found);
-  }
-}
-
-void CrashService::OnBroken(SendNumber aNumber)
-{
-  const auto found = sends_.find(aNumber);
-  if (found == sends_.end()) {
-    return;
-  }
-  Send& send = found->second;
-  send.brokenAt = Now().steady;
-  auto& probe = probes_[KeyOf(*send.backend)];
-  if (!probe) {
-    probe = std::make_shared<asio::steady_timer>(
-      state_.loop, asio::steady_timer::time_point::max());
-    asio::co_spawn(state_.loop, Probe(send.backend), asio::detached);
-  }
-}
-
-asio::awaitable<void> CrashService::Probe(BackendPtr aBackend)
-{
-  const BackendKey key = KeyOf(*aBackend);
-  const Liveness liveness =
-    co_await ProbeLiveness(state_.loop.get_executor(), aBackend->address);
-  state_.metrics.Count("liveness_probes", "result", NameOf(liveness));
-  const auto found = probes_.find(key);
-  found->second->cancel();
-  probes_.erase(found);
-  OnProbed(key, liveness);
-}
-
-void CrashService::OnProbed(const BackendKey& aKey, Liveness aLiveness)
-{
-  for (auto& [number, send] : sends_) {
-    if (KeyOf(*send.backend) == aKey && send.brokenAt != Instant{}) {
-      send.liveness = aLiveness;
-      EndTrial(number, send);
-    }
-  }
-  if (aLiveness == Liveness::Gone) {
-    ReportCrash(aKey, "refuses-connections");
-  }
-}
-
-asio::awaitable<void> CrashService::AwaitProbe(BackendPtr aBackend)
-{
-  const auto running = probes_.find(KeyOf(*aBackend));
-  if (running == probes_.end()) {
-    co_return;
-  }
-  const std::shared_ptr<asio::steady_timer> probe = running->second;
-  boost::system::error_code ignored;
-  co_await probe->async_wait(
-    asio::redirect_error(asio::use_awaitable, ignored));
-}
-
-void CrashService::ReportCrash(const BackendKey& aKey,
-                               std::string_view aEvidence)
+void CrashService::OnCrash(const CrashDetector::Crash& aCrash)
 {
-  ServerCrash crash{ aKey.first, aKey.second, "", Duration{}, {} };
-  const Instant now = Now().steady;
-  std::uint64_t cut = 0;
-  for (auto& [number, send] : sends_) {
-    if (KeyOf(*send.backend) != aKey) {
-      continue;
-    }
-    ++cut;
-    crash.version = send.backend->version;
-    if (send.brokenAt != Instant{}) {
-      EndTrial(number, send);
-      crash.age = std::max(crash.age, Duration(now - send.brokenAt));
-    }
-    std::ranges::copy(*send.parts, std::back_inserter(crash.parts));
-  }
-  std::erase_if(sends_, [&](const auto& aItem) {
-    return KeyOf(*aItem.second.backend) == aKey &&
-           aItem.second.brokenAt != Instant{};
-  });
-  const CrashReport report{ { crash }, {} };
-  if (cut == 0 || !AddReport(report, "own")) {
+  const CrashReport report{ { aCrash.crash }, {} };
+  if (!AddReport(report, "own")) {
     return;
   }
-  state_.metrics.Count("backend_crashes", "evidence", aEvidence);
+  state_.metrics.Count("backend_crashes", "evidence", aCrash.evidence);
   state_.log.Write(LogClass::StateChange,
                    "backend-crashed",
-                   { { "backend", aKey.first },
-                     { "software", crash.version },
-                     { "evidence", aEvidence },
-                     { "starting", cut },
-                     { "parts", NamesOf(crash.parts) } });
+                   { { "backend", aCrash.crash.backend },
+                     { "software", aCrash.crash.version },
+                     { "evidence", aCrash.evidence },
+                     { "starting", aCrash.requests },
+                     { "parts", NamesOf(aCrash.crash.parts) } });
   Broadcast(report);
 }
 
@@ -342,11 +248,8 @@
     co_return;
   }
   CrashReport report;
-  report.survivals.push_back({ std::move(aPart),
-                               std::move(aVersion),
-                               state_.self.incarnation,
-                               ++lastNumber_,
-                               Duration{} });
+  report.survivals.push_back(
+    MakeSurvival(std::move(aPart), std::move(aVersion)));
   if (AddReport(report, "own")) {
     Broadcast(report);
   }
@@ -368,24 +271,6 @@
       { "source", aSource } });
 }
 
-void CrashService::OnBackendReplaced(std::string_view aBackend,
-                                     bool aIsRestarted)
-{
-  std::set<BackendKey> crashed;
-  for (const auto& [number, send] : sends_) {
-    const bool isConfirmed =
-      aIsRestarted ||
-      (send.brokenAt != Instant{} && send.liveness == Liveness::Silent);
-    if (send.backend->id == aBackend && isConfirmed &&
-        !state_.registry.IsUsable(*send.backend)) {
-      crashed.insert(KeyOf(*send.backend));
-    }
-  }
-  for (const BackendKey& key : crashed) {
-    ReportCrash(key, aIsRestarted ? "restarted" : "removed");
-  }
-}
-
 bool CrashService::OnPeerMessage(const Route& aRoute,
                                  const PeerHeader& aHeader,
                                  PeerBody& aBody)
@@ -422,11 +307,7 @@
   evidence_.Expire(now);
   trials_.Expire(now);
   survivals_.Expire(now);
-  std::erase_if(sends_, [&](const auto& aItem) {
-    const Send& send = aItem.second;
-    return send.brokenAt != Instant{} &&
-           now - send.brokenAt >= kConfirmationTime;
-  });
+  detector_.Expire();
 }
 
 std::string CrashService::StateText() const
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -104,8 +104,10 @@
       limits_.OnPeerLimits(aPeer, aLimits);
     });
   platformState_.SetBackendObserver([this](const RegistryEvent& aEvent) {
-    if (aEvent.kind == "restarted" || aEvent.kind == "removed") {
-      crashes_.OnBackendReplaced(aEvent.id, aEvent.kind == "restarted");
+    if (aEvent.kind == "restarted") {
+      crashes_.Detector().OnRestarted(aEvent.id, aEvent.startedMs);
+    } else if (aEvent.kind == "removed") {
+      crashes_.Detector().OnRemoved(aEvent.id);
     }
   });
 }
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -143,8 +143,7 @@
       co_return;
     }
   }
-  const PromptDecision prompt =
-    crashes_.Decide(*attempt.sharedParts, attempt.service->name);
+  const PromptDecision prompt = crashes_.Decide(attempt.MakePromptRequest());
   if (prompt.step == PromptStep::Refuse) {
     attempt.refusedPart = prompt.part;
     co_await Refuse(
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -187,9 +187,11 @@
 asio::awaitable<void> SendLoop::Run()
 {
   for (;;) {
+    // A named object, because GCC 12 destroys aggregate arguments of an awaited
+    // call twice.
+    PromptRequest request = attempt_.MakePromptRequest();
     PromptDecision prompt = co_await crashes_.AwaitTurn(
-      attempt_.sharedParts,
-      attempt_.service->name,
+      std::move(request),
       std::min(attempt_.responseDeadline, Now().steady + kMaxTurnWait));
     if (prompt.step == PromptStep::Wait || prompt.step == PromptStep::Refuse) {
       co_await FinishWithPrompt(prompt);
@@ -202,8 +204,7 @@
         co_await limits_.Acquire(choice->backend, attempt_.priority);
       // Another request may have begun to try the prompt meanwhile.
       const bool isNext =
-        crashes_.Decide(*attempt_.sharedParts, attempt_.service->name).step ==
-        prompt.step;
+        crashes_.Decide(attempt_.MakePromptRequest()).step == prompt.step;
       if (!hasPlace || !isNext) {
         continue;
       }
@@ -277,7 +278,7 @@
       co_return;
     }
     // A retry may go where the prompt crashes another server.
-    co_await crashes_.AwaitProbe(choice->backend);
+    co_await crashes_.Detector().AwaitProbe(choice->backend);
   }
 }
 
@@ -286,11 +287,11 @@
   const bool isBroken = aResult.failure == SendFailure::Lost ||
                         aResult.failure == SendFailure::Interrupted;
   if (!aResult.failure) {
-    crashes_.OnEvents(sendNumber_, true);
+    crashes_.Detector().OnEvents(sendNumber_, true);
   } else if (isBroken && aResult.outcome != SendOutcome::Abandoned) {
-    crashes_.OnBroken(sendNumber_);
+    crashes_.Detector().OnBroken(sendNumber_);
   } else {
-    crashes_.OnEnded(sendNumber_);
+    crashes_.Detector().OnEnded(sendNumber_);
   }
 }
 
@@ -523,7 +524,7 @@
     }
     if (!events.empty()) {
       state_.loads.OnDataReceived(currentReplica_->backend->id, Now().steady);
-      crashes_.OnEvents(sendNumber_, false);
+      crashes_.Detector().OnEvents(sendNumber_, false);
       ReportFirstPart();
       if (!hasResponseBegun_) {
         hasResponseBegun_ = true;
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -59,6 +59,7 @@
                         const std::vector<std::string>& aVersions = { "v1" })
   {
     std::vector<SharedPart> parts;
+    parts.reserve(aParts.size());
     for (const std::string& part : aParts) {
       parts.push_back({ part, static_cast<std::uint32_t>(parts.size()) });
     }
@@ -221,6 +222,7 @@
 {
   for (int crash = 0; crash < 1'000; ++crash) {
     std::vector<std::string> parts;
+    parts.reserve(200);
     for (int part = 0; part < 200; ++part) {
       parts.push_back(std::to_string(crash % 50) + "-" + std::to_string(part));
     }
