Tell a starting gateway of parts that stay refused for long

Cause: a report of a crash older than ten minutes was ignored, also where a failed try keeps its part refused for longer. A gateway that started then took the part for suspect and would have tried it. Change: reports of any age are taken; what no refused part needs is dropped by the next expiry, as before. Result: the new test failed before (suspect in place of refused, digests that differ) and passes.

--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -54,7 +54,7 @@
   const CrashKey key{ aCrash.backend, aCrash.startedMs };
   const auto found = crashes_.find(key);
   const bool isKnown = found != crashes_.end();
-  if (aCrash.parts.empty() || (!isKnown && aCrash.age >= kMemory)) {
+  if (aCrash.parts.empty()) {
     return false;
   }
   const Instant at = aNow - aCrash.age;
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -175,6 +175,23 @@
   }
 }
 
+TEST_CASE_FIXTURE(CrashFixture,
+                  "[CrashEvidence] a gateway that starts late learns of a part "
+                  "that a failed try keeps refused")
+{
+  AddCrashes(3, { "bad" });
+  now += CrashEvidence::kMemory;
+  evidence.Expire(now);
+  evidence.Add(Crash({ "bad" }), now);
+  now += CrashEvidence::kMemory / 2;
+  CHECK(State("bad") == PartState::Refused);
+  CrashEvidence started;
+  started.Add(evidence.Report(now), now);
+  started.Expire(now);
+  CHECK(started.StateOf("bad", "v1", now) == PartState::Refused);
+  CHECK(started.Digest() == evidence.Digest());
+}
+
 TEST_CASE_FIXTURE(CrashFixture,
                   "[CrashEvidence] another software version may try a refused "
                   "part once")
