Log what backend servers say of their leaving

Change: the header is decoded and kept in the registry, which does not use it yet; event backend-leaving; request-sent names waited. Result: no decision is changed.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -109,6 +109,9 @@
 
 std::vector<RegistryEvent> BackendRegistry::Expire(Instant aNow)
 {
+  std::erase_if(leavingSince_, [&](const auto& aItem) {
+    return aNow - aItem.second >= kLeavingMemory && !IsListed(aItem.first);
+  });
   std::vector<RegistryEvent> events;
   std::erase_if(entries_, [&](const auto& aItem) {
     const Entry& entry = aItem.second;
@@ -124,6 +127,34 @@
   return events;
 }
 
+bool BackendRegistry::OnLeaving(const LeavingBackend& aLeaving, Instant aNow)
+{
+  const Incarnation incarnation{ aLeaving.backend, aLeaving.startedMs };
+  if (aLeaving.age >= kLeavingMemory && !IsListed(incarnation)) {
+    return false;
+  }
+  const Instant since = aNow - aLeaving.age;
+  const auto [found, isNew] = leavingSince_.try_emplace(incarnation, since);
+  found->second = std::min(found->second, since);
+  return isNew;
+}
+
+std::vector<LeavingBackend> BackendRegistry::Leaving(Instant aNow) const
+{
+  std::vector<LeavingBackend> leaving;
+  for (const auto& [incarnation, since] : leavingSince_) {
+    leaving.push_back({ incarnation.first, incarnation.second, aNow - since });
+  }
+  return leaving;
+}
+
+bool BackendRegistry::IsListed(const Incarnation& aIncarnation) const
+{
+  const auto found = entries_.find(aIncarnation.first);
+  return found != entries_.end() && found->second.record &&
+         found->second.record->startedMs == aIncarnation.second;
+}
+
 bool BackendRegistry::IsWithinReregistrationPeriod(Instant aNow) const
 {
   return reregistrationEndsAt_ && aNow < *reregistrationEndsAt_;
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace gypsum {
@@ -47,6 +48,16 @@
   std::vector<RegistryChange> entries;
 };
 
+/** An incarnation of a backend server that has said itself that it leaves. */
+struct LeavingBackend
+{
+  std::string backend;
+  std::uint64_t startedMs = 0; ///< Identifies the incarnation.
+  Duration age{};              ///< Time since it first said so.
+
+  bool operator==(const LeavingBackend&) const = default;
+};
+
 /** Effect of a registry change, for the log. */
 struct RegistryEvent
 {
@@ -71,6 +82,9 @@
   /** Live servers that reach the store register again within two seconds. */
   static constexpr Duration kReregistrationTimeout =
     std::chrono::milliseconds(2'200);
+  /** How long the word of an incarnation that is not listed is kept: its entry
+   * may come back with the store. */
+  static constexpr Duration kLeavingMemory = std::chrono::minutes(10);
 
   std::vector<RegistryEvent> Apply(const RegistryChange& aChange, Instant aNow);
   /** Replaces all entries, unless the snapshot is older than the registry. */
@@ -81,6 +95,11 @@
   /** Removes missing entries whose time to register again has passed. */
   std::vector<RegistryEvent> Expire(Instant aNow);
 
+  /** The server has said itself that it leaves; true if that is new. */
+  bool OnLeaving(const LeavingBackend& aLeaving, Instant aNow);
+  /** All incarnations that have said so and may still be listed. */
+  std::vector<LeavingBackend> Leaving(Instant aNow) const;
+
   /** Backend servers of a service that accept new requests. */
   const std::vector<BackendPtr>& Usable(std::string_view aService) const;
   /** The backend server at an address, draining or not; null if none. */
@@ -100,15 +119,19 @@
     std::optional<Instant> missingUntil;
   };
 
+  using Incarnation = std::pair<std::string, std::uint64_t>;
+
   static RegistryEvent EventOf(std::string_view aId,
                                std::string_view aKind,
                                const Entry& aEntry);
   void Rebuild();
+  bool IsListed(const Incarnation& aIncarnation) const;
   bool IsWithinReregistrationPeriod(Instant aNow) const;
 
   std::map<std::string, Entry, std::less<>> entries_;
   std::map<std::string, std::vector<BackendPtr>, std::less<>> usable_;
   std::map<std::string, BackendPtr, std::less<>> byAddress_;
+  std::map<Incarnation, Instant> leavingSince_;
   std::uint64_t revision_ = 0;
   std::optional<Instant> reregistrationEndsAt_;
 };
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -178,6 +178,12 @@
   }
 }
 
+void PeerExchange::OnLeavingResponse(const BackendRecord& aBackend)
+{
+  platformState_.OnLeaving({ aBackend.id, aBackend.startedMs, Duration{} },
+                           "own");
+}
+
 void PeerExchange::SendStatusNow()
 {
   const GatewayStatus status = OwnStatus();
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -109,6 +109,8 @@
   void SendBack(const Route& aRoute, Incarnation aTarget, PeerBody aBody);
   /** Notifies peers of a long prompt, so that they avoid its backend server. */
   void NotifyPromptSent(const PromptSent& aPrompt);
+  /** A response of a backend server says that it leaves. */
+  void OnLeavingResponse(const BackendRecord& aBackend);
   /** Sends the status without waiting for the next round, for example before a
    * stop. */
   void SendStatusNow();
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -277,6 +277,9 @@
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
   limits_.OnResponse(*aBatch.backend, head.limit);
+  if (head.isLeaving) {
+    peers_.OnLeavingResponse(*aBatch.backend);
+  }
   const BodyPart body =
     co_await exchange.ReadRest(aBatch.abandonAt, kMaxResponseBytes);
   if (body.state != ExchangeState::Ok) {
@@ -481,6 +484,9 @@
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
   limits_.OnResponse(*aBackend, head.limit);
+  if (head.isLeaving) {
+    peers_.OnLeavingResponse(*aBackend);
+  }
   const BodyPart body = co_await exchange.ReadRest(deadline, kMaxResponseBytes);
   OnResultsReleased(aHandles);
   if (body.state == ExchangeState::Ok) {
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -86,6 +86,21 @@
   ObserveVersions();
 }
 
+bool PlatformState::OnLeaving(const LeavingBackend& aLeaving,
+                              std::string_view aSource)
+{
+  if (!state_.registry.OnLeaving(aLeaving, Now().steady)) {
+    return false;
+  }
+  state_.log.Write(LogClass::StateChange,
+                   "backend-leaving",
+                   { { "backend", aLeaving.backend },
+                     { "source", aSource },
+                     { "age", aLeaving.age },
+                     { "registry", state_.registry.Revision() } });
+  return true;
+}
+
 void PlatformState::ObserveVersions()
 {
   state_.versions.Observe(state_.registry.Snapshot(), Now().steady);
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -39,6 +39,9 @@
                      std::string_view aSource);
   void ReplaceBackends(const RegistrySnapshot& aSnapshot,
                        std::string_view aSource);
+  /** A backend server has said itself that it leaves, to this gateway or to the
+   * peer that `aSource` names; true if that is new. */
+  bool OnLeaving(const LeavingBackend& aLeaving, std::string_view aSource);
   void OnStoreCallSucceeded();
   void OnStoreCallFailed(std::string_view aReason);
   bool IsStoreUnavailable() const { return failedStoreCalls_ > 0; }
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -339,6 +339,7 @@
       { "after", splitter_.LastId().value_or(attempt_.parameters.lastEvent) },
       { "expected", aChoice.expected },
       { "running", static_cast<std::uint64_t>(aChoice.running) },
+      { "waited", Now().steady - attempt_.arrivedAt },
       { "unread", aChoice.uncachedTokens },
       { "cached", aChoice.cachedTokens },
       { "left", attempt_.responseDeadline - Now().steady } });
@@ -373,6 +374,9 @@
     }
     const BackendResponseHead head =
       DecodeBackendResponseHead(aExchange.GetHead());
+    if (head.isLeaving) {
+      peers_.OnLeavingResponse(*aChoice.backend);
+    }
     const bool isForThisAttempt =
       head.attempt.empty() || head.attempt == attempt_.parameters.id;
     if (!isForThisAttempt && skipped < kMaxSkippedResponses) {
