--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -166,6 +166,9 @@
   if (limit_) {
     aResponse.fields.set("Server-Limit", *limit_);
   }
+  if (isLeaving_) {
+    aResponse.fields.set("Server-Leaving", "1");
+  }
 }
 
 EdgeResponse CellReplica::NotExecutedResponse(unsigned aStatus) const
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -108,6 +108,8 @@
   {
     limit_ = std::move(aLimit);
   }
+  /** Says in all later responses that it leaves; the store is not told. */
+  void SetLeaving(bool aIsLeaving) { isLeaving_ = aIsLeaving; }
   /** Requests of any kind that have arrived. */
   const std::vector<CellArrival>& Arrivals() const { return arrivals_; }
   /** Times of all crashes so far. */
@@ -161,6 +163,7 @@
   CellFaults faults_;
   CellCrash crash_;
   std::optional<std::string> limit_;
+  bool isLeaving_ = false;
   std::vector<CellArrival> arrivals_;
   std::vector<Instant> crashes_;
   bool isDown_ = false;
