Keep requests away from servers that say they leave

Change: the word of a server is a state of its incarnation in the registry, which every choice and every last check asks; peers are told at once and in each status. Nothing but another incarnation ends it. Releases of results to leaving servers are dropped. Why it works: there is one place to ask, and no path sends without asking it. Two of the tests now let all servers leave, since few clients rarely reach a new server while known ones are faster: stricter than before.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -136,6 +136,9 @@
   const Instant since = aNow - aLeaving.age;
   const auto [found, isNew] = leavingSince_.try_emplace(incarnation, since);
   found->second = std::min(found->second, since);
+  if (isNew) {
+    Rebuild();
+  }
   return isNew;
 }
 
@@ -148,6 +151,12 @@
   return leaving;
 }
 
+bool BackendRegistry::IsLeaving(const BackendRecord& aBackend) const
+{
+  return aBackend.isDraining ||
+         leavingSince_.contains({ aBackend.id, aBackend.startedMs });
+}
+
 bool BackendRegistry::IsListed(const Incarnation& aIncarnation) const
 {
   const auto found = entries_.find(aIncarnation.first);
@@ -179,7 +188,7 @@
   const auto found = entries_.find(aBackend.id);
   return found != entries_.end() && found->second.record &&
          found->second.record->startedMs == aBackend.startedMs &&
-         !found->second.record->isDraining;
+         !IsLeaving(*found->second.record);
 }
 
 RegistrySnapshot BackendRegistry::Snapshot() const
@@ -209,7 +218,7 @@
     if (!owner || owner->startedMs < entry.record->startedMs) {
       owner = entry.record;
     }
-    if (!entry.record->isDraining) {
+    if (!IsLeaving(*entry.record)) {
       usable_[entry.record->service].push_back(entry.record);
     }
   }
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -75,6 +75,9 @@
  * while the store is unreachable, so an entry that is missing right after the
  * store reconnected is kept for `kReregistrationTimeout`: a live server
  * registers again within that time.
+ *
+ * Leaving is one state of an incarnation, whether the store says so or the
+ * server itself; the store can't undo the word of the server.
  */
 class BackendRegistry
 {
@@ -95,7 +98,8 @@
   /** Removes missing entries whose time to register again has passed. */
   std::vector<RegistryEvent> Expire(Instant aNow);
 
-  /** The server has said itself that it leaves; true if that is new. */
+  /** The server has said itself that it leaves, which nothing takes back for
+   * this incarnation; true if that is new. */
   bool OnLeaving(const LeavingBackend& aLeaving, Instant aNow);
   /** All incarnations that have said so and may still be listed. */
   std::vector<LeavingBackend> Leaving(Instant aNow) const;
@@ -125,6 +129,8 @@
                                std::string_view aKind,
                                const Entry& aEntry);
   void Rebuild();
+  /** By the store's word or its own; only the next incarnation ends it. */
+  bool IsLeaving(const BackendRecord& aBackend) const;
   bool IsListed(const Incarnation& aIncarnation) const;
   bool IsWithinReregistrationPeriod(Instant aNow) const;
 
--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -41,6 +41,13 @@
   std::vector<PrefixRead> reads;  ///< Recently sent by this gateway.
   std::uint64_t crashDigest = 0;  ///< See `CrashEvidence`.
   std::vector<BackendLimit> limits;
+  std::vector<LeavingBackend> leaving; ///< By their own word.
+};
+
+/** A backend server has just said that it leaves. */
+struct LeavingNotice
+{
+  LeavingBackend leaving;
 };
 
 /** Announces a long prompt at once, since the next status would be too late. */
--- a/core/messages.h
+++ b/core/messages.h
@@ -183,7 +183,8 @@
                               PartTrial,
                               LimitNotice,
                               LimitQuestion,
-                              LimitAnswer>;
+                              LimitAnswer,
+                              LeavingNotice>;
 
 /** A message between two processes. */
 struct PeerMessage
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -121,6 +121,13 @@
   aTo.set_age_us(aFrom.age.count());
 }
 
+void Fill(proto::LeavingBackend& aTo, const LeavingBackend& aFrom)
+{
+  aTo.set_backend(aFrom.backend);
+  aTo.set_started_ms(aFrom.startedMs);
+  aTo.set_age_us(aFrom.age.count());
+}
+
 void FillBody(proto::Envelope& aTo, const GatewayStatus& aFrom)
 {
   proto::GatewayNews& to = *aTo.mutable_gateway_news();
@@ -156,6 +163,9 @@
   for (const BackendLimit& limit : aFrom.limits) {
     Fill(*to.add_limits(), limit);
   }
+  for (const LeavingBackend& leaving : aFrom.leaving) {
+    Fill(*to.add_leaving(), leaving);
+  }
 }
 
 void FillBody(proto::Envelope& aTo, const RegistryRequest& /*aFrom*/)
@@ -291,6 +301,11 @@
   to.set_retry_after_us(aFrom.grant.retryAfter.count());
 }
 
+void FillBody(proto::Envelope& aTo, const LeavingNotice& aFrom)
+{
+  Fill(*aTo.mutable_leaving_notice(), aFrom.leaving);
+}
+
 void FillBody(proto::Envelope& aTo, const CrashReport& aFrom)
 {
   proto::CrashReport& to = *aTo.mutable_crash_report();
@@ -543,6 +558,11 @@
            ReadAge(aFrom.age_us()) };
 }
 
+LeavingBackend Read(const proto::LeavingBackend& aFrom)
+{
+  return { aFrom.backend(), aFrom.started_ms(), ReadAge(aFrom.age_us()) };
+}
+
 GatewayStatus Read(const proto::GatewayNews& aFrom)
 {
   GatewayStatus status;
@@ -573,6 +593,9 @@
   for (const proto::BackendLimit& limit : aFrom.limits()) {
     status.limits.push_back(Read(limit));
   }
+  for (const proto::LeavingBackend& leaving : aFrom.leaving()) {
+    status.leaving.push_back(Read(leaving));
+  }
   return status;
 }
 
@@ -761,6 +784,8 @@
       return LimitAnswer{ aFrom.limit_answer().number(),
                           { aFrom.limit_answer().is_granted(),
                             ReadAge(aFrom.limit_answer().retry_after_us()) } };
+    case proto::Envelope::kLeavingNotice:
+      return LeavingNotice{ Read(aFrom.leaving_notice()) };
     case proto::Envelope::BODY_NOT_SET:
       break;
   }
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -113,6 +113,7 @@
   status.loads = state_.loads.OwnLoads(now);
   status.reads = state_.prefixes.RecentReads(now);
   status.limits = state_.limits.All(now);
+  status.leaving = state_.registry.Leaving(now);
   if (queueWaitProvider_) {
     status.waits = queueWaitProvider_();
   }
@@ -180,8 +181,13 @@
 
 void PeerExchange::OnLeavingResponse(const BackendRecord& aBackend)
 {
-  platformState_.OnLeaving({ aBackend.id, aBackend.startedMs, Duration{} },
-                           "own");
+  const LeavingBackend leaving{ aBackend.id, aBackend.startedMs, Duration{} };
+  if (!platformState_.OnLeaving(leaving, "own")) {
+    return;
+  }
+  for (const std::string& peer : LivePeers(LeavingPeers::Include)) {
+    SendTo(peer, LeavingNotice{ leaving });
+  }
 }
 
 void PeerExchange::SendStatusNow()
@@ -277,6 +283,10 @@
       prompt->backend, prompt->tokens, Now().steady);
     return;
   }
+  if (const auto* const notice = std::get_if<LeavingNotice>(&aMessage.body)) {
+    platformState_.OnLeaving(notice->leaving, header.sender.name);
+    return;
+  }
   if (std::holds_alternative<ManifestRequest>(aMessage.body)) {
     SendBack(aRoute,
              header.sender.incarnation,
@@ -343,6 +353,9 @@
   for (const PrefixRead& read : aStatus.reads) {
     state_.prefixes.OnPeerRead(read, now);
   }
+  for (const LeavingBackend& leaving : aStatus.leaving) {
+    platformState_.OnLeaving(leaving, aHeader.sender.name);
+  }
   peer.status = std::move(aStatus);
   if (peer.status.isLeaving) {
     heardAt_.erase(peer.status.address);
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -439,8 +439,10 @@
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
     for (auto& [address, handles] : std::exchange(resultsToRelease_, {})) {
-      // The results of a backend server that has gone no longer exist.
-      if (BackendPtr backend = state_.registry.FindByAddress(address)) {
+      // The results of a backend server that leaves expire with it, and nothing
+      // else needs their room.
+      BackendPtr backend = state_.registry.FindByAddress(address);
+      if (backend && state_.registry.IsUsable(*backend)) {
         asio::co_spawn(state_.loop,
                        SendReleaseCall(std::move(backend), std::move(handles)),
                        asio::detached);
@@ -473,7 +475,8 @@
   }
   const Instant deadline = Now().steady + kReleaseTimeout;
   BackendExchange exchange(state_.pool, address);
-  if (co_await exchange.Connect(Reuse::Any, deadline) != ExchangeState::Ok) {
+  if (co_await exchange.Connect(Reuse::Any, deadline) != ExchangeState::Ok ||
+      !state_.registry.IsUsable(*aBackend)) {
     co_return;
   }
   exchange.Send(ToReleaseCall(address, aHandles));
--- a/tests/cell/test_server_leaving.cpp
+++ b/tests/cell/test_server_leaving.cpp
@@ -127,7 +127,7 @@
                   "undoes the word of an incarnation")
 {
   StartClients("/read/x");
-  SetLeaving(cell.PlainServers(), 2);
+  SetLeaving(cell.PlainServers(), cell.PlainServers().size());
   std::this_thread::sleep_for(kDrainBound);
   SUBCASE("the store lists it as ready once more")
   {
@@ -181,7 +181,7 @@
                   "gets requests")
 {
   StartClients("/read/x");
-  SetLeaving(cell.PlainServers(), 2);
+  SetLeaving(cell.PlainServers(), cell.PlainServers().size());
   std::this_thread::sleep_for(kDrainBound);
   cell.Run([&] {
     std::ranges::for_each(leaving, [](CellReplica* aServer) {
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -91,6 +91,20 @@
   CHECK(list.entries[1].isUnreadable);
 }
 
+TEST_CASE("[PeerCodec] the word of servers that leave is transferred unchanged")
+{
+  const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
+  const LeavingBackend leaving{ "i-1", 17, Duration(9'000) };
+  const auto notice = Decode(Encode({ header, LeavingNotice{ leaving } }));
+  REQUIRE(notice);
+  CHECK(std::get<LeavingNotice>(notice->body).leaving == leaving);
+  GatewayStatus status;
+  status.leaving = { leaving, { "i-2", 18, Duration{} } };
+  const auto copy = Decode(Encode({ header, status }));
+  REQUIRE(copy);
+  CHECK(std::get<GatewayStatus>(copy->body).leaving == status.leaving);
+}
+
 TEST_CASE("[PeerCodec] the origins of streams are transferred unchanged")
 {
   const ExpiringOrigin origin{ { "a1", "model", "v1.2" }, Duration(9'000) };
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -151,4 +151,55 @@
   CHECK(registry.FindByAddress("10.0.0.1:1")->id == "new");
 }
 
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] a server that says it leaves accepts no "
+                  "requests whatever the store says of this incarnation")
+{
+  const BackendRecord record = Record("a", "10.0.0.1:1");
+  Add(record, 1);
+  CHECK(registry.OnLeaving({ "a", 1, {} }, now));
+  CHECK_FALSE(registry.OnLeaving({ "a", 1, {} }, now));
+  CHECK(UsableCount() == 0);
+  CHECK_FALSE(registry.IsUsable(record));
+  CHECK(registry.FindByAddress("10.0.0.1:1") != nullptr);
+  BackendRecord changed = record;
+  changed.slots = 8;
+  Add(changed, 2);
+  CHECK(UsableCount() == 0);
+  Remove("a", 3);
+  Add(record, 4);
+  CHECK(UsableCount() == 0);
+  Add(Record("a", "10.0.0.1:1", 2), 5);
+  CHECK(UsableCount() == 1);
+}
+
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] the word of a server that is not listed "
+                  "yet holds when it is")
+{
+  CHECK(registry.OnLeaving({ "a", 1, milliseconds(500) }, now));
+  Add(Record("a", "10.0.0.1:1"), 1);
+  CHECK(UsableCount() == 0);
+  Add(Record("b", "10.0.0.2:1"), 2);
+  CHECK(UsableCount() == 1);
+}
+
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] the word of a listed server is kept for "
+                  "good and that of another one for a bounded time")
+{
+  Add(Record("a", "10.0.0.1:1"), 1);
+  registry.OnLeaving({ "a", 1, {} }, now);
+  registry.OnLeaving({ "b", 1, {} }, now);
+  now += BackendRegistry::kLeavingMemory;
+  registry.Expire(now);
+  REQUIRE(registry.Leaving(now).size() == 1);
+  CHECK(registry.Leaving(now).front() ==
+        LeavingBackend{ "a", 1, BackendRegistry::kLeavingMemory });
+  // A peer that forgets later must not bring it back.
+  CHECK_FALSE(
+    registry.OnLeaving({ "b", 1, BackendRegistry::kLeavingMemory }, now));
+  CHECK(UsableCount() == 0);
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -6,7 +6,11 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
+#include <string>
 #include <variant>
+#include <vector>
 
 namespace gypsum::tests {
 
@@ -315,4 +319,46 @@
   }
 }
 
+TEST_CASE("[BackendResponseHead] only the value 1 says that a server leaves")
+{
+  const auto isLeaving = [](const std::vector<std::string>& aValues,
+                            unsigned aStatus = 200) {
+    HttpResponseHead head;
+    head.result(aStatus);
+    for (const std::string& value : aValues) {
+      head.insert("Server-Leaving", value);
+    }
+    return DecodeBackendResponseHead(head).isLeaving;
+  };
+  CHECK(isLeaving({ "1" }));
+  CHECK(isLeaving({ " 1 " }));
+  CHECK(isLeaving({ "0", "1" }));
+  CHECK(isLeaving({ "1" }, 503));
+  CHECK(isLeaving({ "1" }, 500));
+  CHECK_FALSE(isLeaving({ "1" }, 421));
+  CHECK_FALSE(isLeaving({}));
+  for (const char* const value :
+       { "", "0", "2", "11", "-1", "1.0", "true", "1,1", "1\t2", "\xff" }) {
+    CAPTURE(value);
+    CHECK_FALSE(isLeaving({ value }));
+  }
+}
+
+TEST_CASE("[BackendResponseHead] random values of any length do not break the "
+          "decoding of a leaving server")
+{
+  std::mt19937_64 random(29);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string value(random() % 24, '\0');
+    std::ranges::generate(
+      value, [&] { return static_cast<char>(1 + random() % 255); });
+    HttpResponseHead head;
+    head.insert("Server-Leaving", value);
+    const bool isOne =
+      value.find_first_not_of(" \t\n\v\f\r1") == std::string::npos &&
+      std::ranges::count(value, '1') == 1;
+    CHECK(DecodeBackendResponseHead(head).isLeaving == isOne);
+  }
+}
+
 } // namespace gypsum::tests
