Name in the log what makes two requests the same

Change: request-sent names customer and hash of method, host, path, query and body. Result: no decision is changed.

--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -2,6 +2,10 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <cstdio>
+#include <iterator>
+
 namespace gypsum {
 
 std::uint64_t Checksum(std::string_view aBytes)
@@ -9,6 +13,25 @@
   return XXH3_64bits(aBytes.data(), aBytes.size());
 }
 
+std::string LongChecksum(std::span<const std::string_view> aFields)
+{
+  std::string digests;
+  for (const std::string_view field : aFields) {
+    const XXH128_hash_t hash = XXH3_128bits(field.data(), field.size());
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, hash);
+    digests.append(std::begin(canonical.digest), std::end(canonical.digest));
+  }
+  const XXH128_hash_t hash = XXH3_128bits(digests.data(), digests.size());
+  std::array<char, 33> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%016llx%016llx",
+                static_cast<unsigned long long>(hash.high64),
+                static_cast<unsigned long long>(hash.low64));
+  return text.data();
+}
+
 std::uint64_t RendezvousWeight(std::uint64_t aKeyHash, std::string_view aMember)
 {
   return XXH3_64bits_withSeed(aMember.data(), aMember.size(), aKeyHash);
--- a/core/hash.h
+++ b/core/hash.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
+#include <string>
 #include <string_view>
 
 namespace gypsum {
@@ -8,6 +10,10 @@
 /** XXH3 hash of the bytes; equal on all machines and in all processes. */
 std::uint64_t Checksum(std::string_view aBytes);
 
+/** XXH3 hash of 128 bits over a list of fields, as 32 hexadecimal digits. Lists
+ * with other borders between their fields have other hashes. */
+std::string LongChecksum(std::span<const std::string_view> aFields);
+
 /**
  * Weight of a member for a key in rendezvous hashing.
  *
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -35,6 +35,7 @@
   Instant resumableUntil{};  ///< The client no longer resumes the stream then.
   ResumeTarget resumeTarget; ///< Set from the first event or a resume on.
   std::uint32_t priority = 0;
+  std::string requestName; ///< Equal for each attempt of the same request.
   /** Parts of the prompt that other requests may share; never null. */
   std::shared_ptr<const SharedParts> sharedParts =
     std::make_shared<const SharedParts>();
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/request_handler.h"
 
+#include "core/gateway/request_identity.h"
 #include "core/hash.h"
 #include "drivers/clock.h"
 #include "platform/piece_calls.h"
@@ -224,6 +225,12 @@
   }
   aAttempt.priority = UrgencyRank(route, aAttempt.customer);
   aAttempt.plan = StagePlan(route.stages, aAttempt.parameters.pieces);
+  const auto method = request.method_string();
+  aAttempt.requestName = NameOf({ aAttempt.CustomerName(),
+                                  { method.data(), method.size() },
+                                  { host.data(), host.size() },
+                                  { target.data(), target.size() },
+                                  request.body() });
   aAttempt.sharedParts = SharedPartsOf(aAttempt.parameters.prompt);
   return std::nullopt;
 }
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -334,6 +334,7 @@
     { { "id", attempt_.parameters.id },
       { "backend", backend.id },
       { "software", backend.version },
+      { "request", attempt_.requestName },
       { "parts", NamesOfParts(attempt_.parameters.prompt.SharedParts()) },
       { "resumes", attempt_.parameters.resumedAttempt },
       { "after", splitter_.LastId().value_or(attempt_.parameters.lastEvent) },
