--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 64;
-/** Bounds the time until a refused part is tried again to some days. */
+/** Bounds the time until a refused trait is tried again to some days. */
 constexpr unsigned kMaxDoublings = 8;
 
 std::uint64_t HashOf(std::string_view aText, std::uint64_t aNumber)
@@ -20,7 +20,7 @@
   return Checksum(std::string(aText) + "\n" + std::to_string(aNumber));
 }
 
-/** Time until which a part is refused after its crashes. */
+/** Time until which a trait is refused after its crashes. */
 Instant RefusedUntil(std::span<const Instant> aCrashes)
 {
   unsigned failedTries = 0;
@@ -35,13 +35,13 @@
 
 } // namespace
 
-std::string PartName(std::string_view aId)
+std::string TraitName(std::string_view aId)
 {
   return aId.size() <= kMaxNameBytes ? std::string(aId)
                                      : "#" + std::to_string(Checksum(aId));
 }
 
-std::string_view NameOf(PartState aState)
+std::string_view NameOf(TraitState aState)
 {
   constexpr std::array<std::string_view, 3> kNames{ "sound",
                                                     "suspect",
@@ -54,7 +54,7 @@
   const CrashKey key{ aCrash.backend, aCrash.startedMs };
   const auto found = crashes_.find(key);
   const bool isKnown = found != crashes_.end();
-  if (aCrash.parts.empty()) {
+  if (aCrash.traits.empty()) {
     return false;
   }
   const Instant at = aNow - aCrash.age;
@@ -62,22 +62,23 @@
   crash.at = isKnown ? std::min(crash.at, at) : at;
   crash.version = aCrash.version;
   bool isNew = !isKnown;
-  for (const SharedPart& part : aCrash.parts) {
-    if (crash.positions.size() < kMaxPartsPerCrash) {
-      isNew |= crash.positions.emplace(part.name, part.position).second;
+  for (const RequestTrait& trait : aCrash.traits) {
+    if (crash.positions.size() < kMaxTraitsPerCrash) {
+      isNew |= crash.positions.emplace(trait.name, trait.position).second;
     }
   }
   return isNew;
 }
 
-bool CrashEvidence::AddSurvival(const PartSurvival& aSurvival, Instant aNow)
+bool CrashEvidence::AddSurvival(const TraitSurvival& aSurvival, Instant aNow)
 {
-  // A part that is sound has no crash to take back.
-  return verdicts_.contains(aSurvival.part) &&
+  // A trait that is sound has no crash to take back.
+  return verdicts_.contains(aSurvival.trait) &&
          survivals_
            .emplace(SurvivalKey{ aSurvival.gateway, aSurvival.number },
-                    Survival{
-                      aSurvival.part, aSurvival.version, aNow - aSurvival.age })
+                    Survival{ aSurvival.trait,
+                              aSurvival.version,
+                              aNow - aSurvival.age })
            .second;
 }
 
@@ -91,9 +92,9 @@
     BoundMemory();
     Judge();
   }
-  std::vector<PartSurvival> survivals = aReport.survivals;
-  std::ranges::sort(survivals, std::ranges::greater{}, &PartSurvival::age);
-  for (const PartSurvival& survival : survivals) {
+  std::vector<TraitSurvival> survivals = aReport.survivals;
+  std::ranges::sort(survivals, std::ranges::greater{}, &TraitSurvival::age);
+  for (const TraitSurvival& survival : survivals) {
     if (AddSurvival(survival, aNow)) {
       isNew = true;
       BoundMemory();
@@ -126,11 +127,11 @@
   std::erase_if(crashes_, [&](const auto& aItem) {
     const Crash& crash = aItem.second;
     const bool isKept =
-      std::ranges::any_of(crash.positions, [&](const auto& aPart) {
-        const auto verdict = verdicts_.find(aPart.first);
-        // After its time, a refused part is kept long enough to be tried.
+      std::ranges::any_of(crash.positions, [&](const auto& aTrait) {
+        const auto verdict = verdicts_.find(aTrait.first);
+        // After its time, a refused trait is kept long enough to be tried.
         return verdict != verdicts_.end() &&
-               verdict->second.state == PartState::Refused &&
+               verdict->second.state == TraitState::Refused &&
                aNow < verdict->second.refusedUntil + kMemory;
       });
     return !isKept && aNow - crash.at >= kMemory;
@@ -138,7 +139,7 @@
   std::erase_if(survivals_, [&](const auto& aItem) {
     const bool isNeeded =
       std::ranges::any_of(crashes_, [&](const auto& aCrash) {
-        return aCrash.second.positions.contains(aItem.second.part);
+        return aCrash.second.positions.contains(aItem.second.trait);
       });
     return !isNeeded && aNow - aItem.second.at >= kMemory;
   });
@@ -172,9 +173,9 @@
   }
 }
 
-PartVerdict CrashEvidence::Score::ToVerdict(PartState aState) const
+TraitVerdict CrashEvidence::Score::ToVerdict(TraitState aState) const
 {
-  PartVerdict verdict{
+  TraitVerdict verdict{
     aState, crashes,         countedAt.back(), RefusedUntil(countedAt),
     {},     survivedVersions
   };
@@ -198,23 +199,23 @@
     if (crash.isExplained) {
       continue;
     }
-    for (const auto& [part, position] : crash.positions) {
-      events[part].push_back({ crash.at, &crash, nullptr });
+    for (const auto& [trait, position] : crash.positions) {
+      events[trait].push_back({ crash.at, &crash, nullptr });
     }
   }
   for (const auto& [key, survival] : survivals_) {
-    const auto found = events.find(survival.part);
+    const auto found = events.find(survival.trait);
     if (found != events.end()) {
       found->second.push_back({ survival.at, nullptr, &survival });
     }
   }
   std::map<std::string, Score, std::less<>> scores;
-  for (auto& [part, list] : events) {
+  for (auto& [trait, list] : events) {
     std::ranges::sort(list, {}, &Event::at);
-    Score& score = scores[part];
+    Score& score = scores[trait];
     for (const Event& event : list) {
       if (event.crash) {
-        score.OnCrash(*event.crash, event.crash->positions.find(part)->second);
+        score.OnCrash(*event.crash, event.crash->positions.find(trait)->second);
       } else {
         score.OnSurvival(*event.survival);
       }
@@ -233,18 +234,18 @@
     const auto scores = ScoreUnexplained();
     const auto best =
       std::ranges::max_element(scores, {}, [](const auto& aItem) {
-        // The first parts of prompts are common to many requests, so that the
+        // The first traits of prompts are common to many requests, so that the
         // later of two equal ones is the likelier cause.
         return std::pair(aItem.second.crashes, aItem.second.position);
       });
     const bool isRefused =
       best != scores.end() && best->second.crashes >= kCrashesToRefuse;
-    for (const auto& [part, score] : scores) {
-      if (score.crashes == 0 || (isRefused && part != best->first)) {
+    for (const auto& [trait, score] : scores) {
+      if (score.crashes == 0 || (isRefused && trait != best->first)) {
         continue;
       }
-      verdicts_[part] =
-        score.ToVerdict(isRefused ? PartState::Refused : PartState::Suspect);
+      verdicts_[trait] =
+        score.ToVerdict(isRefused ? TraitState::Refused : TraitState::Suspect);
     }
     if (!isRefused) {
       return;
@@ -256,24 +257,24 @@
   }
 }
 
-PartState CrashEvidence::StateOf(std::string_view aPart,
-                                 std::string_view aVersion,
-                                 Instant aNow) const
+TraitState CrashEvidence::StateOf(std::string_view aTrait,
+                                  std::string_view aVersion,
+                                  Instant aNow) const
 {
-  const auto found = verdicts_.find(aPart);
+  const auto found = verdicts_.find(aTrait);
   if (found == verdicts_.end()) {
-    return PartState::Sound;
+    return TraitState::Sound;
   }
-  const PartVerdict& verdict = found->second;
-  if (verdict.state == PartState::Suspect || aNow >= verdict.refusedUntil) {
-    return PartState::Suspect;
+  const TraitVerdict& verdict = found->second;
+  if (verdict.state == TraitState::Suspect || aNow >= verdict.refusedUntil) {
+    return TraitState::Suspect;
   }
   if (verdict.crashedVersions.contains(aVersion) ||
       verdict.crashedVersions.size() >= kMaxCrashedVersions) {
-    return PartState::Refused;
+    return TraitState::Refused;
   }
-  return verdict.survivedVersions.contains(aVersion) ? PartState::Sound
-                                                     : PartState::Suspect;
+  return verdict.survivedVersions.contains(aVersion) ? TraitState::Sound
+                                                     : TraitState::Suspect;
 }
 
 CrashReport CrashEvidence::Report(Instant aNow) const
@@ -283,13 +284,13 @@
     ServerCrash copy{
       key.first, key.second, crash.version, aNow - crash.at, {}
     };
-    for (const auto& [part, position] : crash.positions) {
-      copy.parts.push_back({ part, position });
+    for (const auto& [trait, position] : crash.positions) {
+      copy.traits.push_back({ trait, position });
     }
     report.crashes.push_back(std::move(copy));
   }
   for (const auto& [key, survival] : survivals_) {
-    report.survivals.push_back({ survival.part,
+    report.survivals.push_back({ survival.trait,
                                  survival.version,
                                  key.first,
                                  key.second,
@@ -301,8 +302,8 @@
 std::uint64_t CrashEvidence::Digest() const
 {
   std::uint64_t digest = 0;
-  for (const auto& [part, verdict] : verdicts_) {
-    digest ^= HashOf(part, verdict.crashes);
+  for (const auto& [trait, verdict] : verdicts_) {
+    digest ^= HashOf(trait, verdict.crashes);
   }
   return digest;
 }
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -14,17 +14,17 @@
 
 namespace gypsum {
 
-/** A part of a prompt that other requests may share. */
-struct SharedPart
+/** Something that several requests may have in common. */
+struct RequestTrait
 {
-  std::string name;           ///< See `PartName`.
+  std::string name;           ///< See `TraitName`.
   std::uint32_t position = 0; ///< In the prompt, from zero.
 
-  bool operator==(const SharedPart&) const = default;
+  bool operator==(const RequestTrait&) const = default;
 };
 
-/** Name of a part, bounded in length; clients choose the ids. */
-std::string PartName(std::string_view aId);
+/** Name of a part of a prompt, bounded in length; clients choose the ids. */
+std::string TraitName(std::string_view aId);
 
 /** The crash of one incarnation of a backend server. */
 struct ServerCrash
@@ -33,61 +33,61 @@
   std::uint64_t startedMs = 0; ///< Identifies the incarnation.
   std::string version;         ///< Of its software.
   Duration age{};              ///< Time since the crash.
-  /** Parts of the requests to which it was about to respond. */
-  std::vector<SharedPart> parts;
+  /** Traits of the requests to which it was about to respond. */
+  std::vector<RequestTrait> traits;
 
   bool operator==(const ServerCrash&) const = default;
 };
 
-/** A backend server that went on after it began to respond to a part. */
-struct PartSurvival
+/** A backend server that went on after it began to respond to a trait. */
+struct TraitSurvival
 {
-  std::string part;
+  std::string trait;
   std::string version;       ///< Of its software.
   std::uint64_t gateway = 0; ///< Incarnation of the gateway that saw it.
   std::uint64_t number = 0;  ///< Unique in that incarnation.
   Duration age{};
 
-  bool operator==(const PartSurvival&) const = default;
+  bool operator==(const TraitSurvival&) const = default;
 };
 
 /** What one gateway tells another of crashes. */
 struct CrashReport
 {
   std::vector<ServerCrash> crashes;
-  std::vector<PartSurvival> survivals;
+  std::vector<TraitSurvival> survivals;
 
   bool operator==(const CrashReport&) const = default;
 };
 
-enum class PartState
+enum class TraitState
 {
   Sound,
   Suspect, ///< May crash servers: one request with it at a time.
   Refused, ///< Crashes servers.
 };
 
-std::string_view NameOf(PartState aState);
+std::string_view NameOf(TraitState aState);
 
-/** How a part that is not sound stands, and why. */
-struct PartVerdict
+/** How a trait that is not sound stands, and why. */
+struct TraitVerdict
 {
-  PartState state = PartState::Suspect;
-  std::size_t crashes = 0; ///< That no other part explains.
+  TraitState state = TraitState::Suspect;
+  std::size_t crashes = 0; ///< That no other trait explains.
   Instant lastCrashAt{};
-  Instant refusedUntil{}; ///< Of a refused part.
+  Instant refusedUntil{}; ///< Of a refused trait.
   std::set<std::string, std::less<>> crashedVersions;
   std::set<std::string, std::less<>> survivedVersions;
 };
 
 /**
- * Finds the parts of prompts that crash backend servers.
+ * Finds the traits of requests that crash backend servers.
  *
- * The crash of an incarnation counts once for each part to which the server was
- * about to respond, however many requests and gateways saw it. Crashes in quick
- * succession count once, so that the loss of many servers at a time is no
- * evidence. A server that survives a part takes back one crash of its software
- * version. Of the parts that crashes have in common, the one with the most
+ * The crash of an incarnation counts once for each trait to which the server
+ * was about to respond, however many requests and gateways saw it. Crashes in
+ * quick succession count once, so that the loss of many servers at a time is no
+ * evidence. A server that survives a trait takes back one crash of its software
+ * version. Of the traits that crashes have in common, the one with the most
  * crashes explains them, and they no longer count for the others.
  *
  * Gateways exchange their reports; those that have the same ones agree.
@@ -95,28 +95,28 @@
 class CrashEvidence
 {
 public:
-  /** Crashes without a survival between them that make a part refused. */
+  /** Crashes without a survival between them that make a trait refused. */
   static constexpr std::size_t kCrashesToRefuse = 3;
-  /** Crashes of a part within this time count as one. */
+  /** Crashes of a trait within this time count as one. */
   static constexpr Duration kCrashSpacing = std::chrono::milliseconds(500);
-  /** Time after which a crash is forgotten, and after which a refused part may
+  /** Time after which a crash is forgotten, and after which a refused trait may
    * be tried again; it doubles with each try that crashes a server. */
   static constexpr Duration kMemory = std::chrono::minutes(10);
-  /** Versions that a part has crashed until no other one may try it. */
+  /** Versions that a trait has crashed until no other one may try it. */
   static constexpr std::size_t kMaxCrashedVersions = 3;
   static constexpr std::size_t kMaxCrashes = 256;
-  static constexpr std::size_t kMaxPartsPerCrash = 128;
+  static constexpr std::size_t kMaxTraitsPerCrash = 128;
   static constexpr std::size_t kMaxSurvivals = 512;
 
   /** Adds what is new and matters; false if nothing does. */
   bool Add(const CrashReport& aReport, Instant aNow);
   void Expire(Instant aNow);
-  /** How a part stands at servers of a software version. */
-  PartState StateOf(std::string_view aPart,
-                    std::string_view aVersion,
-                    Instant aNow) const;
-  /** All parts that are not sound. */
-  const std::map<std::string, PartVerdict, std::less<>>& Verdicts() const
+  /** How a trait stands at servers of a software version. */
+  TraitState StateOf(std::string_view aTrait,
+                     std::string_view aVersion,
+                     Instant aNow) const;
+  /** All traits that are not sound. */
+  const std::map<std::string, TraitVerdict, std::less<>>& Verdicts() const
   {
     return verdicts_;
   }
@@ -132,16 +132,16 @@
   {
     std::string version;
     Instant at{};
-    std::map<std::string, std::uint32_t, std::less<>> positions; ///< By part.
-    bool isExplained = false; ///< By a refused part.
+    std::map<std::string, std::uint32_t, std::less<>> positions; ///< By trait.
+    bool isExplained = false; ///< By a refused trait.
   };
   struct Survival
   {
-    std::string part;
+    std::string trait;
     std::string version;
     Instant at{};
   };
-  /** Crashes that count for one part. */
+  /** Crashes that count for one trait. */
   struct Score
   {
     std::size_t crashes = 0; ///< Sum of `crashesByVersion`.
@@ -153,18 +153,18 @@
 
     void OnCrash(const Crash& aCrash, std::uint32_t aPosition);
     void OnSurvival(const Survival& aSurvival);
-    PartVerdict ToVerdict(PartState aState) const;
+    TraitVerdict ToVerdict(TraitState aState) const;
   };
 
   bool AddCrash(const ServerCrash& aCrash, Instant aNow);
-  bool AddSurvival(const PartSurvival& aSurvival, Instant aNow);
+  bool AddSurvival(const TraitSurvival& aSurvival, Instant aNow);
   void Judge();
   std::map<std::string, Score, std::less<>> ScoreUnexplained() const;
   void BoundMemory();
 
   std::map<CrashKey, Crash> crashes_;
   std::map<SurvivalKey, Survival> survivals_;
-  std::map<std::string, PartVerdict, std::less<>> verdicts_;
+  std::map<std::string, TraitVerdict, std::less<>> verdicts_;
 };
 
 } // namespace gypsum
--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -6,7 +6,7 @@
 #include "core/gateway/batch_queue.h"
 #include "core/gateway/crash_evidence.h"
 #include "core/gateway/limit_allotment.h"
-#include "core/gateway/part_trials.h"
+#include "core/gateway/trait_trials.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/resume_policy.h"
 #include "core/gateway/stream_origins.h"
--- a/core/gateway/recent_survivals.cpp
+++ b/core/gateway/recent_survivals.cpp
@@ -2,26 +2,26 @@
 
 namespace gypsum {
 
-void RecentSurvivals::Add(std::string_view aPart, Instant aNow)
+void RecentSurvivals::Add(std::string_view aTrait, Instant aNow)
 {
-  const auto found = lastAt_.find(aPart);
+  const auto found = lastAt_.find(aTrait);
   if (found != lastAt_.end()) {
     found->second = aNow;
     return;
   }
-  if (lastAt_.size() >= kMaxParts) {
+  if (lastAt_.size() >= kMaxTraits) {
     Expire(aNow);
   }
-  if (lastAt_.size() < kMaxParts) {
-    lastAt_.emplace(std::string(aPart), aNow);
+  if (lastAt_.size() < kMaxTraits) {
+    lastAt_.emplace(std::string(aTrait), aNow);
   }
 }
 
-bool RecentSurvivals::HasSince(std::string_view aPart,
+bool RecentSurvivals::HasSince(std::string_view aTrait,
                                Instant aEarliest,
                                Instant aNow) const
 {
-  const auto found = lastAt_.find(aPart);
+  const auto found = lastAt_.find(aTrait);
   return found != lastAt_.end() && found->second > aEarliest &&
          aNow - found->second < kMemory;
 }
--- a/core/gateway/recent_survivals.h
+++ b/core/gateway/recent_survivals.h
@@ -9,16 +9,16 @@
 
 namespace gypsum {
 
-/** Parts of prompts that backend servers have survived lately. */
+/** Traits of requests that backend servers have survived lately. */
 class RecentSurvivals
 {
 public:
   static constexpr Duration kMemory = std::chrono::seconds(10);
-  static constexpr std::size_t kMaxParts = 2'048;
+  static constexpr std::size_t kMaxTraits = 2'048;
 
-  void Add(std::string_view aPart, Instant aNow);
-  /** Whether servers have survived the part after a time, and lately. */
-  bool HasSince(std::string_view aPart, Instant aEarliest, Instant aNow) const;
+  void Add(std::string_view aTrait, Instant aNow);
+  /** Whether servers have survived the trait after a time, and lately. */
+  bool HasSince(std::string_view aTrait, Instant aEarliest, Instant aNow) const;
   void Expire(Instant aNow);
 
 private:
--- a/core/gateway/part_trials.h
+++ b/core/gateway/trait_trials.h
@@ -11,32 +11,32 @@
 
 namespace gypsum {
 
-/** One request with suspect parts that a gateway has sent. */
-struct PartTrial
+/** One request with suspect traits that a gateway has sent. */
+struct TraitTrial
 {
   std::uint64_t gateway = 0; ///< Incarnation of the gateway.
   std::uint64_t number = 0;  ///< Unique in that incarnation.
-  std::vector<std::string> parts;
+  std::vector<std::string> traits;
   bool hasEnded = false;
 
-  bool operator==(const PartTrial&) const = default;
+  bool operator==(const TraitTrial&) const = default;
 };
 
 /** The trials under way in the fleet, as far as this gateway was told. */
-class PartTrials
+class TraitTrials
 {
 public:
   /** A trial whose end was not told counts no longer than this. */
   static constexpr Duration kMaxDuration = std::chrono::seconds(3);
 
-  void OnTrial(const PartTrial& aTrial, Instant aNow);
-  bool IsUnderWay(std::string_view aPart, Instant aNow) const;
+  void OnTrial(const TraitTrial& aTrial, Instant aNow);
+  bool IsUnderWay(std::string_view aTrait, Instant aNow) const;
   void Expire(Instant aNow);
 
 private:
   struct Entry
   {
-    std::vector<std::string> parts;
+    std::vector<std::string> traits;
     Instant until{};
   };
 
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -315,15 +315,15 @@
     crash.set_started_ms(from.startedMs);
     crash.set_software_version(from.version);
     crash.set_age_us(from.age.count());
-    for (const SharedPart& part : from.parts) {
-      proto::SharedPart& copy = *crash.add_parts();
-      copy.set_name(part.name);
-      copy.set_position(part.position);
+    for (const RequestTrait& trait : from.traits) {
+      proto::RequestTrait& copy = *crash.add_traits();
+      copy.set_name(trait.name);
+      copy.set_position(trait.position);
     }
   }
-  for (const PartSurvival& from : aFrom.survivals) {
-    proto::PartSurvival& survival = *to.add_survivals();
-    survival.set_part(from.part);
+  for (const TraitSurvival& from : aFrom.survivals) {
+    proto::TraitSurvival& survival = *to.add_survivals();
+    survival.set_trait(from.trait);
     survival.set_software_version(from.version);
     survival.set_gateway(from.gateway);
     survival.set_number(from.number);
@@ -336,12 +336,12 @@
   aTo.mutable_crash_report_request();
 }
 
-void FillBody(proto::Envelope& aTo, const PartTrial& aFrom)
+void FillBody(proto::Envelope& aTo, const TraitTrial& aFrom)
 {
-  proto::PartTrial& to = *aTo.mutable_part_trial();
+  proto::TraitTrial& to = *aTo.mutable_trait_trial();
   to.set_gateway(aFrom.gateway);
   to.set_number(aFrom.number);
-  to.mutable_parts()->Add(aFrom.parts.begin(), aFrom.parts.end());
+  to.mutable_traits()->Add(aFrom.traits.begin(), aFrom.traits.end());
   to.set_has_ended(aFrom.hasEnded);
 }
 
@@ -690,13 +690,13 @@
                        from.software_version(),
                        ReadAge(from.age_us()),
                        {} };
-    for (const proto::SharedPart& part : from.parts()) {
-      crash.parts.push_back({ part.name(), part.position() });
+    for (const proto::RequestTrait& trait : from.traits()) {
+      crash.traits.push_back({ trait.name(), trait.position() });
     }
     report.crashes.push_back(std::move(crash));
   }
-  for (const proto::PartSurvival& from : aFrom.survivals()) {
-    report.survivals.push_back({ from.part(),
+  for (const proto::TraitSurvival& from : aFrom.survivals()) {
+    report.survivals.push_back({ from.trait(),
                                  from.software_version(),
                                  from.gateway(),
                                  from.number(),
@@ -769,11 +769,11 @@
       return Read(aFrom.crash_report());
     case proto::Envelope::kCrashReportRequest:
       return CrashReportRequest{};
-    case proto::Envelope::kPartTrial:
-      return PartTrial{ aFrom.part_trial().gateway(),
-                        aFrom.part_trial().number(),
-                        ToStrings(aFrom.part_trial().parts()),
-                        aFrom.part_trial().has_ended() };
+    case proto::Envelope::kTraitTrial:
+      return TraitTrial{ aFrom.trait_trial().gateway(),
+                         aFrom.trait_trial().number(),
+                         ToStrings(aFrom.trait_trial().traits()),
+                         aFrom.trait_trial().has_ended() };
     case proto::Envelope::kLimitNotice:
       return Read(aFrom.limit_notice());
     case proto::Envelope::kLimitQuestion:
--- a/servers/gateway/attempt.cpp
+++ b/servers/gateway/attempt.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-Duration RetryAfterOf(const PromptDecision& aDecision, Instant aNow)
+Duration RetryAfterOf(const TraitDecision& aDecision, Instant aNow)
 {
   return std::clamp(Duration(aDecision.refusedUntil - aNow),
                     Duration(std::chrono::seconds(1)),
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -37,9 +37,9 @@
   std::uint32_t priority = 0;
   std::string requestName; ///< Equal for each attempt of the same request.
   /** Parts of the prompt that other requests may share; never null. */
-  std::shared_ptr<const SharedParts> sharedParts =
-    std::make_shared<const SharedParts>();
-  std::string refusedPart; ///< For which it was refused; may be empty.
+  std::shared_ptr<const RequestTraits> traits =
+    std::make_shared<const RequestTraits>();
+  std::string refusedTrait; ///< For which it was refused; may be empty.
   StagePlan plan{ {}, {} };
   CancellationToken cancellation;
 
@@ -51,10 +51,10 @@
              : std::optional<std::string_view>(resumeTarget.version);
   }
 
-  PromptRequest MakePromptRequest() const
+  TraitQuestion MakeTraitQuestion() const
   {
     const auto version = RequiredVersion();
-    return { sharedParts,
+    return { traits,
              service->name,
              version ? std::optional(std::string(*version)) : std::nullopt };
   }
@@ -72,7 +72,7 @@
  */
 EdgeResponse FailureResponse(ErrorKind aKind, Duration aRetryAfter);
 
-/** `Retry-After` of a request with a part that crashes servers. */
-Duration RetryAfterOf(const PromptDecision& aDecision, Instant aNow);
+/** `Retry-After` of a request with a trait that crashes servers. */
+Duration RetryAfterOf(const TraitDecision& aDecision, Instant aNow);
 
 } // namespace gypsum
--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -32,11 +32,11 @@
 
 void CrashDetector::OnSent(SendNumber aNumber,
                            BackendPtr aBackend,
-                           std::shared_ptr<const SharedParts> aParts)
+                           std::shared_ptr<const RequestTraits> aTraits)
 {
   Send& send = sends_[aNumber];
   send.backend = std::move(aBackend);
-  send.parts = std::move(aParts);
+  send.traits = std::move(aTraits);
 }
 
 void CrashDetector::OnEvents(SendNumber aNumber, bool aIsComplete)
@@ -51,7 +51,7 @@
     send.firstEventAt = now;
   }
   if (aIsComplete || now - send.firstEventAt >= kSurvivalTime) {
-    handlers_.onSurvival(*send.backend, *send.parts);
+    handlers_.onSurvival(*send.backend, *send.traits);
     OnEnded(aNumber);
   }
 }
@@ -128,7 +128,7 @@
         std::max(crash.crash.age, Duration(now - send.brokenAt));
       ended.push_back(number);
     }
-    std::ranges::copy(*send.parts, std::back_inserter(crash.crash.parts));
+    std::ranges::copy(*send.traits, std::back_inserter(crash.crash.traits));
   }
   std::ranges::for_each(ended,
                         [this](SendNumber aNumber) { OnEnded(aNumber); });
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -19,10 +19,11 @@
 
 namespace gypsum {
 
-using SharedParts = std::vector<SharedPart>;
+using RequestTraits = std::vector<RequestTrait>;
 
 /**
- * Notices when backend servers crash or survive, and on which parts of prompts.
+ * Notices when backend servers crash or survive, and on which traits of
+ * requests.
  *
  * A broken connection alone is no crash: the server must refuse a new
  * connection, or the registry must list a new incarnation of it.
@@ -40,7 +41,7 @@
   };
   using CrashHandler = std::function<void(const Crash&)>;
   using SurvivalHandler =
-    std::function<void(const BackendRecord&, const SharedParts&)>;
+    std::function<void(const BackendRecord&, const RequestTraits&)>;
   /** A send has survived, has ended, or its server was probed. */
   using EndHandler = std::function<void(SendNumber)>;
   using ProbeHandler = std::function<void(Liveness)>;
@@ -61,7 +62,7 @@
 
   void OnSent(SendNumber aNumber,
               BackendPtr aBackend,
-              std::shared_ptr<const SharedParts> aParts);
+              std::shared_ptr<const RequestTraits> aTraits);
   /** The response goes on; `aIsComplete` at its end. */
   void OnEvents(SendNumber aNumber, bool aIsComplete);
   /** The connection broke or the server fell silent; starts a probe. */
@@ -85,7 +86,7 @@
   struct Send
   {
     BackendPtr backend;
-    std::shared_ptr<const SharedParts> parts;
+    std::shared_ptr<const RequestTraits> traits;
     Instant firstEventAt{};
     Instant brokenAt{};                  ///< Zero while the send runs.
     Liveness liveness = Liveness::Alive; ///< After it broke.
@@ -95,7 +96,7 @@
 
   static BackendKey KeyOf(const BackendRecord& aBackend);
   boost::asio::awaitable<void> Probe(BackendPtr aBackend);
-  /** Reports the crash with the parts of all sends that it may concern. */
+  /** Reports the crash with the traits of all sends that it may concern. */
   void ReportCrash(const BackendKey& aKey, std::string_view aEvidence);
 
   boost::asio::io_context& loop_;
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -20,22 +20,22 @@
 constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
 /** Time between two requests for the reports of peers. */
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
-/** Gateways answer for a part one after the other, on average this far apart,
+/** Gateways answer for a trait one after the other, on average this far apart,
  * so that most hear of an answer before they give their own. */
 constexpr Duration kAnswerSpacing = std::chrono::milliseconds(2);
 constexpr Duration kMaxAnswerDelay = std::chrono::milliseconds(200);
 
-/** Recent survivals are kept for each part at each software version. */
-std::string SurvivalName(std::string_view aPart, std::string_view aVersion)
+/** Recent survivals are kept for each trait at each software version. */
+std::string SurvivalName(std::string_view aTrait, std::string_view aVersion)
 {
-  return std::string(aPart) + "@" + std::string(aVersion);
+  return std::string(aTrait) + "@" + std::string(aVersion);
 }
 
-std::string NamesOf(std::span<const SharedPart> aParts)
+std::string NamesOf(std::span<const RequestTrait> aTraits)
 {
   std::set<std::string_view> names;
-  for (const SharedPart& part : aParts) {
-    names.insert(part.name);
+  for (const RequestTrait& trait : aTraits) {
+    names.insert(trait.name);
   }
   std::string text;
   for (const std::string_view name : names) {
@@ -57,8 +57,8 @@
 CrashDetector::Handlers CrashService::MakeHandlers()
 {
   return { [this](const CrashDetector::Crash& aCrash) { OnCrash(aCrash); },
-           [this](const BackendRecord& aBackend, const SharedParts& aParts) {
-             OnSurvival(aBackend, aParts);
+           [this](const BackendRecord& aBackend, const RequestTraits& aTraits) {
+             OnSurvival(aBackend, aTraits);
            },
            [this](SendNumber aNumber) { EndTrial(aNumber); },
            [this](Liveness aLiveness) {
@@ -76,7 +76,7 @@
 }
 
 std::vector<std::string> CrashService::VersionsFor(
-  const PromptRequest& aRequest) const
+  const TraitQuestion& aRequest) const
 {
   std::set<std::string> versions;
   for (const BackendPtr& backend : state_.registry.Usable(aRequest.service)) {
@@ -87,22 +87,22 @@
   return { versions.begin(), versions.end() };
 }
 
-PromptDecision CrashService::Decide(const PromptRequest& aRequest) const
+TraitDecision CrashService::Decide(const TraitQuestion& aRequest) const
 {
-  if (aRequest.parts->empty() || evidence_.Verdicts().empty()) {
+  if (aRequest.traits->empty() || evidence_.Verdicts().empty()) {
     return {};
   }
-  return DecidePrompt(
-    *aRequest.parts, evidence_, trials_, VersionsFor(aRequest), Now().steady);
+  return DecideByTraits(
+    *aRequest.traits, evidence_, trials_, VersionsFor(aRequest), Now().steady);
 }
 
-asio::awaitable<PromptDecision> CrashService::AwaitTurn(PromptRequest aRequest,
-                                                        Instant aDeadline)
+asio::awaitable<TraitDecision> CrashService::AwaitTurn(TraitQuestion aRequest,
+                                                       Instant aDeadline)
 {
   for (;;) {
-    PromptDecision decision = Decide(aRequest);
+    TraitDecision decision = Decide(aRequest);
     const Instant now = Now().steady;
-    if (decision.step != PromptStep::Wait || now >= aDeadline) {
+    if (decision.step != TraitStep::Wait || now >= aDeadline) {
       co_return decision;
     }
     asio::steady_timer timer(state_.loop);
@@ -115,17 +115,17 @@
 
 CrashService::SendNumber CrashService::OnSent(
   BackendPtr aBackend,
-  const std::shared_ptr<const SharedParts>& aParts,
+  const std::shared_ptr<const RequestTraits>& aTraits,
   std::vector<std::string> aSuspects)
 {
   const SendNumber number = ++lastNumber_;
-  if (aParts->empty()) {
+  if (aTraits->empty()) {
     return number;
   }
-  detector_.OnSent(number, std::move(aBackend), aParts);
+  detector_.OnSent(number, std::move(aBackend), aTraits);
   if (!aSuspects.empty()) {
     ownTrials_.insert(number);
-    const PartTrial trial{
+    const TraitTrial trial{
       state_.self.incarnation, number, std::move(aSuspects), false
     };
     trials_.OnTrial(trial, Now().steady);
@@ -139,14 +139,15 @@
   if (ownTrials_.erase(aNumber) == 0) {
     return;
   }
-  const PartTrial trial{ state_.self.incarnation, aNumber, {}, true };
+  const TraitTrial trial{ state_.self.incarnation, aNumber, {}, true };
   trials_.OnTrial(trial, Now().steady);
   Broadcast(trial);
 }
 
-PartSurvival CrashService::MakeSurvival(std::string aPart, std::string aVersion)
+TraitSurvival CrashService::MakeSurvival(std::string aTrait,
+                                         std::string aVersion)
 {
-  return { std::move(aPart),
+  return { std::move(aTrait),
            std::move(aVersion),
            state_.self.incarnation,
            ++lastNumber_,
@@ -154,15 +155,15 @@
 }
 
 void CrashService::OnSurvival(const BackendRecord& aBackend,
-                              const SharedParts& aParts)
+                              const RequestTraits& aTraits)
 {
   const Instant now = Now().steady;
   CrashReport report;
-  for (const SharedPart& part : aParts) {
-    survivals_.Add(SurvivalName(part.name, aBackend.version), now);
-    if (evidence_.StateOf(part.name, aBackend.version, now) !=
-        PartState::Sound) {
-      report.survivals.push_back(MakeSurvival(part.name, aBackend.version));
+  for (const RequestTrait& trait : aTraits) {
+    survivals_.Add(SurvivalName(trait.name, aBackend.version), now);
+    if (evidence_.StateOf(trait.name, aBackend.version, now) !=
+        TraitState::Sound) {
+      report.survivals.push_back(MakeSurvival(trait.name, aBackend.version));
     }
   }
   if (!report.survivals.empty() && AddReport(report, "own")) {
@@ -183,7 +184,7 @@
                      { "software", aCrash.crash.version },
                      { "evidence", aCrash.evidence },
                      { "starting", aCrash.requests },
-                     { "parts", NamesOf(aCrash.crash.parts) } });
+                     { "traits", NamesOf(aCrash.crash.traits) } });
   Broadcast(report);
 }
 
@@ -197,30 +198,30 @@
   }
   const auto& after = evidence_.Verdicts();
   std::set<std::string> changed;
-  for (const auto& [part, verdict] : after) {
-    const auto old = before.find(part);
+  for (const auto& [trait, verdict] : after) {
+    const auto old = before.find(trait);
     if (old == before.end() || old->second.state != verdict.state) {
-      changed.insert(part);
+      changed.insert(trait);
     }
   }
-  for (const auto& [part, verdict] : before) {
-    if (!after.contains(part)) {
-      changed.insert(part);
+  for (const auto& [trait, verdict] : before) {
+    if (!after.contains(trait)) {
+      changed.insert(trait);
     }
   }
-  for (const std::string& part : changed) {
-    LogVerdict(part, aSource);
+  for (const std::string& trait : changed) {
+    LogVerdict(trait, aSource);
   }
   for (const ServerCrash& crash : aReport.crashes) {
-    for (const SharedPart& part : crash.parts) {
-      const auto old = before.find(part.name);
+    for (const RequestTrait& trait : crash.traits) {
+      const auto old = before.find(trait.name);
       const Instant previousAt =
         old == before.end() ? Instant{} : old->second.lastCrashAt;
-      if (after.contains(part.name) &&
+      if (after.contains(trait.name) &&
           survivals_.HasSince(
-            SurvivalName(part.name, crash.version), previousAt, now)) {
+            SurvivalName(trait.name, crash.version), previousAt, now)) {
         asio::co_spawn(state_.loop,
-                       AnswerForPart(part.name, crash.version, previousAt),
+                       AnswerForTrait(trait.name, crash.version, previousAt),
                        asio::detached);
       }
     }
@@ -228,9 +229,9 @@
   return true;
 }
 
-asio::awaitable<void> CrashService::AnswerForPart(std::string aPart,
-                                                  std::string aVersion,
-                                                  Instant aPreviousCrashAt)
+asio::awaitable<void> CrashService::AnswerForTrait(std::string aTrait,
+                                                   std::string aVersion,
+                                                   Instant aPreviousCrashAt)
 {
   const Duration longest =
     std::min(kMaxAnswerDelay,
@@ -242,29 +243,29 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   const Instant now = Now().steady;
   const bool isNeeded =
-    evidence_.Verdicts().contains(aPart) &&
-    survivals_.HasSince(SurvivalName(aPart, aVersion), aPreviousCrashAt, now);
+    evidence_.Verdicts().contains(aTrait) &&
+    survivals_.HasSince(SurvivalName(aTrait, aVersion), aPreviousCrashAt, now);
   if (!isNeeded) {
     co_return;
   }
   CrashReport report;
   report.survivals.push_back(
-    MakeSurvival(std::move(aPart), std::move(aVersion)));
+    MakeSurvival(std::move(aTrait), std::move(aVersion)));
   if (AddReport(report, "own")) {
     Broadcast(report);
   }
 }
 
-void CrashService::LogVerdict(const std::string& aPart,
+void CrashService::LogVerdict(const std::string& aTrait,
                               std::string_view aSource) const
 {
-  const auto found = evidence_.Verdicts().find(aPart);
+  const auto found = evidence_.Verdicts().find(aTrait);
   const bool isSound = found == evidence_.Verdicts().end();
-  const PartState state = isSound ? PartState::Sound : found->second.state;
+  const TraitState state = isSound ? TraitState::Sound : found->second.state;
   state_.log.Write(
     LogClass::StateChange,
-    "prompt-part",
-    { { "part", aPart },
+    "request-trait",
+    { { "trait", aTrait },
       { "state", NameOf(state) },
       { "crashes",
         static_cast<std::uint64_t>(isSound ? 0 : found->second.crashes) },
@@ -279,7 +280,7 @@
     AddReport(*report, aHeader.sender.name);
     return true;
   }
-  if (const auto* const trial = std::get_if<PartTrial>(&aBody)) {
+  if (const auto* const trial = std::get_if<TraitTrial>(&aBody)) {
     trials_.OnTrial(*trial, Now().steady);
     return true;
   }
@@ -313,9 +314,10 @@
 std::string CrashService::StateText() const
 {
   std::string text;
-  for (const auto& [part, verdict] : evidence_.Verdicts()) {
-    text += "prompt part " + part + ": " + std::string(NameOf(verdict.state)) +
-            ", crashes " + std::to_string(verdict.crashes) + "\n";
+  for (const auto& [trait, verdict] : evidence_.Verdicts()) {
+    text += "request trait " + trait + ": " +
+            std::string(NameOf(verdict.state)) + ", crashes " +
+            std::to_string(verdict.crashes) + "\n";
   }
   return text;
 }
--- a/servers/gateway/crash_service.h
+++ b/servers/gateway/crash_service.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/gateway/crash_evidence.h"
-#include "core/gateway/part_trials.h"
-#include "core/gateway/prompt_admission.h"
+#include "core/gateway/trait_trials.h"
+#include "core/gateway/trait_admission.h"
 #include "core/gateway/recent_survivals.h"
 #include "core/messages.h"
 #include "servers/gateway/crash_detector.h"
@@ -22,16 +22,16 @@
 
 namespace gypsum {
 
-/** What decides whether a request may be sent because of its prompt. */
-struct PromptRequest
+/** What decides whether a request may be sent because of its traits. */
+struct TraitQuestion
 {
-  std::shared_ptr<const SharedParts> parts; ///< Never null.
+  std::shared_ptr<const RequestTraits> traits; ///< Never null.
   std::string service;
   std::optional<std::string> version; ///< The only one that may serve it.
 };
 
 /**
- * Finds out, together with the other gateways, which parts of prompts crash
+ * Finds out, together with the other gateways, which traits of requests crash
  * backend servers, and keeps requests with them away from servers.
  */
 class CrashService
@@ -42,15 +42,15 @@
   CrashService(GatewayState& aState, PeerExchange& aPeers);
 
   /** Decides at once, without waiting for other requests. */
-  PromptDecision Decide(const PromptRequest& aRequest) const;
-  /** Decides, and waits while other requests try the suspect parts; returns
+  TraitDecision Decide(const TraitQuestion& aRequest) const;
+  /** Decides, and waits while other requests try the suspect traits; returns
    * `Wait` if it still has to wait at the deadline. */
-  boost::asio::awaitable<PromptDecision> AwaitTurn(PromptRequest aRequest,
-                                                   Instant aDeadline);
+  boost::asio::awaitable<TraitDecision> AwaitTurn(TraitQuestion aRequest,
+                                                  Instant aDeadline);
 
-  /** A request is sent; `aSuspects` of its parts are tried. */
+  /** A request is sent; `aSuspects` of its traits are tried. */
   SendNumber OnSent(BackendPtr aBackend,
-                    const std::shared_ptr<const SharedParts>& aParts,
+                    const std::shared_ptr<const RequestTraits>& aTraits,
                     std::vector<std::string> aSuspects);
   /** Learns from the sends how their servers do. */
   CrashDetector& Detector() { return detector_; }
@@ -64,25 +64,25 @@
   std::uint64_t Digest() const { return evidence_.Digest(); }
   /** Forgets what is old; call it several times a second. */
   void Expire();
-  /** One line for each part that is not sound. */
+  /** One line for each trait that is not sound. */
   std::string StateText() const;
 
 private:
   CrashDetector::Handlers MakeHandlers();
-  std::vector<std::string> VersionsFor(const PromptRequest& aRequest) const;
+  std::vector<std::string> VersionsFor(const TraitQuestion& aRequest) const;
   void OnCrash(const CrashDetector::Crash& aCrash);
-  void OnSurvival(const BackendRecord& aBackend, const SharedParts& aParts);
+  void OnSurvival(const BackendRecord& aBackend, const RequestTraits& aTraits);
   /** Tells the fleet that a trial has ended, if the send is one. */
   void EndTrial(SendNumber aNumber);
   /** Adds reports and logs how the verdicts change; false if nothing is new. */
   bool AddReport(const CrashReport& aReport, std::string_view aSource);
-  /** Tells the fleet that servers here survived a part since its crash before
+  /** Tells the fleet that servers here survived a trait since its crash before
    * the last, unless another gateway says so first. */
-  boost::asio::awaitable<void> AnswerForPart(std::string aPart,
-                                             std::string aVersion,
-                                             Instant aPreviousCrashAt);
-  PartSurvival MakeSurvival(std::string aPart, std::string aVersion);
-  void LogVerdict(const std::string& aPart, std::string_view aSource) const;
+  boost::asio::awaitable<void> AnswerForTrait(std::string aTrait,
+                                              std::string aVersion,
+                                              Instant aPreviousCrashAt);
+  TraitSurvival MakeSurvival(std::string aTrait, std::string aVersion);
+  void LogVerdict(const std::string& aTrait, std::string_view aSource) const;
   template<typename Body>
   void Broadcast(const Body& aBody);
 
@@ -90,7 +90,7 @@
   PeerExchange& peers_;
   CrashDetector detector_;
   CrashEvidence evidence_;
-  PartTrials trials_;
+  TraitTrials trials_;
   RecentSurvivals survivals_;
   std::set<SendNumber> ownTrials_;
   std::uint64_t lastNumber_ = 0; ///< Of a send or a survival.
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -65,16 +65,16 @@
 }
 
 /** The shared parts of a prompt, each once. */
-std::shared_ptr<const SharedParts> SharedPartsOf(const PromptSpec& aPrompt)
+std::shared_ptr<const RequestTraits> TraitsOf(const PromptSpec& aPrompt)
 {
-  SharedParts parts;
+  RequestTraits traits;
   for (const PromptPart& part : aPrompt.SharedParts()) {
-    const std::string name = PartName(part.id);
-    if (std::ranges::find(parts, name, &SharedPart::name) == parts.end()) {
-      parts.push_back({ name, static_cast<std::uint32_t>(parts.size()) });
+    const std::string name = TraitName(part.id);
+    if (std::ranges::find(traits, name, &RequestTrait::name) == traits.end()) {
+      traits.push_back({ name, static_cast<std::uint32_t>(traits.size()) });
     }
   }
-  return std::make_shared<const SharedParts>(std::move(parts));
+  return std::make_shared<const RequestTraits>(std::move(traits));
 }
 
 } // namespace
@@ -144,11 +144,11 @@
       co_return;
     }
   }
-  const PromptDecision prompt = crashes_.Decide(attempt.MakePromptRequest());
-  if (prompt.step == PromptStep::Refuse) {
-    attempt.refusedPart = prompt.part;
+  const TraitDecision prompt = crashes_.Decide(attempt.MakeTraitQuestion());
+  if (prompt.step == TraitStep::Refuse) {
+    attempt.refusedTrait = prompt.trait;
     co_await Refuse(
-      attempt, ErrorKind::CrashingPrompt, RetryAfterOf(prompt, Now().steady));
+      attempt, ErrorKind::CrashingRequest, RetryAfterOf(prompt, Now().steady));
     co_return;
   }
   EstimateReplica(attempt);
@@ -231,7 +231,7 @@
                                   { host.data(), host.size() },
                                   { target.data(), target.size() },
                                   request.body() });
-  aAttempt.sharedParts = SharedPartsOf(aAttempt.parameters.prompt);
+  aAttempt.traits = TraitsOf(aAttempt.parameters.prompt);
   return std::nullopt;
 }
 
@@ -535,7 +535,7 @@
         aAttempt.routeTable ? aAttempt.routeTable->Configuration().version
                             : 0 },
       { "registry", state_.registry.Revision() },
-      { "part", aAttempt.refusedPart },
+      { "trait", aAttempt.refusedTrait },
       { "store-age", Now().steady - state_.lastStoreResponseAt },
       { "retry-after", aRetryAfter },
       { "elapsed", elapsed } });
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -48,7 +48,7 @@
 constexpr unsigned kMinUrgencyRank = 2;
 constexpr unsigned kMaxUrgencyRank = 9;
 
-/** Time that a request waits while others try its suspect parts: a few tries,
+/** Time that a request waits while others try its suspect traits: a few tries,
  * each of a prompt and `CrashEvidence::kCrashSpacing`. */
 constexpr Duration kMaxTurnWait = std::chrono::milliseconds(1'500);
 /** Shared parts of a prompt that are named in a log line. */
@@ -189,12 +189,12 @@
   for (;;) {
     // A named object, because GCC 12 destroys aggregate arguments of an awaited
     // call twice.
-    PromptRequest request = attempt_.MakePromptRequest();
-    PromptDecision prompt = co_await crashes_.AwaitTurn(
+    TraitQuestion request = attempt_.MakeTraitQuestion();
+    TraitDecision prompt = co_await crashes_.AwaitTurn(
       std::move(request),
       std::min(attempt_.responseDeadline, Now().steady + kMaxTurnWait));
-    if (prompt.step == PromptStep::Wait || prompt.step == PromptStep::Refuse) {
-      co_await FinishWithPrompt(prompt);
+    if (prompt.step == TraitStep::Wait || prompt.step == TraitStep::Refuse) {
+      co_await FinishWithTrait(prompt);
       co_return;
     }
     excludedVersions_ = std::move(prompt.excludedVersions);
@@ -204,7 +204,7 @@
         co_await limits_.Acquire(choice->backend, attempt_.priority);
       // Another request may have begun to try the prompt meanwhile.
       const bool isNext =
-        crashes_.Decide(attempt_.MakePromptRequest()).step == prompt.step;
+        crashes_.Decide(attempt_.MakeTraitQuestion()).step == prompt.step;
       if (!hasPlace || !isNext) {
         continue;
       }
@@ -238,7 +238,7 @@
         now);
     }
     sendNumber_ = crashes_.OnSent(
-      choice->backend, attempt_.sharedParts, std::move(prompt.suspects));
+      choice->backend, attempt_.traits, std::move(prompt.suspects));
     const SendResult result = co_await SendOnce(*choice);
     ReportEnd(result);
     state_.loads.OnEnded(
@@ -616,11 +616,10 @@
   RecordOutcome(ErrorResponseOf(kind).name, status);
 }
 
-asio::awaitable<void> SendLoop::FinishWithPrompt(
-  const PromptDecision& aDecision)
+asio::awaitable<void> SendLoop::FinishWithTrait(const TraitDecision& aDecision)
 {
   attempt_.client->StopWatching();
-  attempt_.refusedPart = aDecision.part;
+  attempt_.refusedTrait = aDecision.trait;
   if (attempt_.cancellation.IsCancelled()) {
     RecordOutcome("client-left", 0);
     co_return;
@@ -630,10 +629,10 @@
     RecordOutcome("broken-off", 0);
     co_return;
   }
-  const ErrorKind refusal = aDecision.step == PromptStep::Refuse
-                              ? ErrorKind::CrashingPrompt
-                              : ErrorKind::SuspectPrompt;
-  const Duration retryAfter = aDecision.step == PromptStep::Refuse
+  const ErrorKind refusal = aDecision.step == TraitStep::Refuse
+                              ? ErrorKind::CrashingRequest
+                              : ErrorKind::SuspectRequest;
+  const Duration retryAfter = aDecision.step == TraitStep::Refuse
                                 ? RetryAfterOf(aDecision, Now().steady)
                                 : Duration{};
   const ErrorKind kind = mayHaveRun_ ? ErrorKind::BackendFailed : refusal;
@@ -677,7 +676,7 @@
                    { { "id", attempt_.parameters.id },
                      { "outcome", aOutcome },
                      { "status", aStatus },
-                     { "part", attempt_.refusedPart },
+                     { "trait", attempt_.refusedTrait },
                      { "events", splitter_.Events() },
                      { "framing", responseEnd_.framing },
                      { "connection", responseEnd_.connection },
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -81,8 +81,7 @@
   /** Tells what a send showed of its backend server's health. */
   void ReportEnd(const SendResult& aResult);
   /** Ends the attempt because of a part of its prompt. */
-  boost::asio::awaitable<void> FinishWithPrompt(
-    const PromptDecision& aDecision);
+  boost::asio::awaitable<void> FinishWithTrait(const TraitDecision& aDecision);
   std::optional<ChosenReplica> Choose() const;
   BackendHeaders HeadersFor(const BackendRecord& aBackend) const;
   /** Deadline for the header and the first event of a response. */
--- a/tests/cell/test_crashing_prompt.cpp
+++ b/tests/cell/test_crashing_prompt.cpp
@@ -212,7 +212,7 @@
     const std::size_t line =
       log.find("event=request-refused id=" + request.attemptId);
     return line != std::string::npos &&
-           log.find(" part=bad0 ", line) < log.find('\n', line);
+           log.find(" trait=bad0 ", line) < log.find('\n', line);
   };
   CHECK(WaitUntil(isLogged));
 }
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -148,10 +148,10 @@
   const auto received = Decode(Encode({ header, report }));
   REQUIRE(received);
   CHECK(std::get<CrashReport>(received->body) == report);
-  const PartTrial trial{ 7, 4, { "aa", "bb" }, true };
+  const TraitTrial trial{ 7, 4, { "aa", "bb" }, true };
   const auto copy = Decode(Encode({ header, trial }));
   REQUIRE(copy);
-  CHECK(std::get<PartTrial>(copy->body) == trial);
+  CHECK(std::get<TraitTrial>(copy->body) == trial);
   GatewayStatus status;
   status.crashDigest = 77;
   const auto news = Decode(Encode({ header, status }));
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -1,4 +1,4 @@
-#include "core/gateway/prompt_admission.h"
+#include "core/gateway/trait_admission.h"
 #include "core/gateway/recent_survivals.h"
 
 #include <doctest/doctest.h>
@@ -17,57 +17,57 @@
 
 struct CrashFixture
 {
-  /** A crash of another incarnation with these parts in prompt order. */
-  CrashReport Crash(const std::vector<std::string>& aParts,
+  /** A crash of another incarnation with these traits in prompt order. */
+  CrashReport Crash(const std::vector<std::string>& aTraits,
                     const std::string& aVersion = "v1",
                     Duration aAge = {})
   {
     ServerCrash crash{
       "i-" + std::to_string(++lastNumber), 1, aVersion, aAge, {}
     };
-    for (const std::string& part : aParts) {
-      crash.parts.push_back(
-        { part, static_cast<std::uint32_t>(crash.parts.size()) });
+    for (const std::string& trait : aTraits) {
+      crash.traits.push_back(
+        { trait, static_cast<std::uint32_t>(crash.traits.size()) });
     }
     return { { crash }, {} };
   }
 
-  CrashReport Survival(const std::string& aPart,
+  CrashReport Survival(const std::string& aTrait,
                        const std::string& aVersion = "v1")
   {
-    return { {}, { { aPart, aVersion, 7, ++lastNumber, Duration{} } } };
+    return { {}, { { aTrait, aVersion, 7, ++lastNumber, Duration{} } } };
   }
 
   /** Crashes that are far enough apart to count. */
   void AddCrashes(int aCount,
-                  const std::vector<std::string>& aParts,
+                  const std::vector<std::string>& aTraits,
                   const std::string& aVersion = "v1")
   {
     for (int crash = 0; crash < aCount; ++crash) {
       now += seconds(1);
-      evidence.Add(Crash(aParts, aVersion), now);
+      evidence.Add(Crash(aTraits, aVersion), now);
     }
   }
 
-  PartState State(const std::string& aPart,
-                  const std::string& aVersion = "v1") const
+  TraitState State(const std::string& aTrait,
+                   const std::string& aVersion = "v1") const
   {
-    return evidence.StateOf(aPart, aVersion, now);
+    return evidence.StateOf(aTrait, aVersion, now);
   }
 
-  PromptDecision Decide(const std::vector<std::string>& aParts,
-                        const std::vector<std::string>& aVersions = { "v1" })
+  TraitDecision Decide(const std::vector<std::string>& aTraits,
+                       const std::vector<std::string>& aVersions = { "v1" })
   {
-    std::vector<SharedPart> parts;
-    parts.reserve(aParts.size());
-    for (const std::string& part : aParts) {
-      parts.push_back({ part, static_cast<std::uint32_t>(parts.size()) });
+    std::vector<RequestTrait> traits;
+    traits.reserve(aTraits.size());
+    for (const std::string& trait : aTraits) {
+      traits.push_back({ trait, static_cast<std::uint32_t>(traits.size()) });
     }
-    return DecidePrompt(parts, evidence, trials, aVersions, now);
+    return DecideByTraits(traits, evidence, trials, aVersions, now);
   }
 
   CrashEvidence evidence;
-  PartTrials trials;
+  TraitTrials trials;
   Instant now{ seconds(10'000) };
   std::uint64_t lastNumber = 0;
 };
@@ -84,23 +84,23 @@
     CHECK_FALSE(evidence.Add(crash, now + seconds(gateway)));
   }
   CHECK(evidence.Verdicts().find("bad")->second.crashes == 1);
-  CHECK(State("bad") == PartState::Suspect);
+  CHECK(State("bad") == TraitState::Suspect);
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] three crashes refuse a part, and the loss "
+                  "[CrashEvidence] three crashes refuse a trait, and the loss "
                   "of many servers at a time none")
 {
   for (int server = 0; server < 20; ++server) {
     evidence.Add(Crash({ "aa" }), now + milliseconds(20 * server));
   }
-  CHECK(State("aa") == PartState::Suspect);
+  CHECK(State("aa") == TraitState::Suspect);
   AddCrashes(2, { "bad" });
-  CHECK(State("bad") == PartState::Suspect);
+  CHECK(State("bad") == TraitState::Suspect);
   AddCrashes(1, { "bad" });
-  CHECK(State("bad") == PartState::Refused);
-  CHECK(Decide({ "bad" }).step == PromptStep::Refuse);
-  CHECK(Decide({ "bad" }).part == "bad");
+  CHECK(State("bad") == TraitState::Refused);
+  CHECK(Decide({ "bad" }).step == TraitStep::Refuse);
+  CHECK(Decide({ "bad" }).trait == "bad");
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
@@ -111,39 +111,39 @@
   AddCrashes(2, { "aa" });
   evidence.Add(Survival("aa"), now);
   AddCrashes(1, { "aa" });
-  CHECK(State("aa") == PartState::Suspect);
+  CHECK(State("aa") == TraitState::Suspect);
   evidence.Add(Survival("aa"), now);
   evidence.Add(Survival("aa"), now);
-  CHECK(State("aa") == PartState::Sound);
+  CHECK(State("aa") == TraitState::Sound);
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] a part that was cut beside the one that "
+                  "[CrashEvidence] a trait that was cut beside the one that "
                   "crashes servers is sound once that one is refused")
 {
   AddCrashes(2, { "aa", "bad", "cc" });
-  CHECK(State("aa") == PartState::Suspect);
+  CHECK(State("aa") == TraitState::Suspect);
   evidence.Add(Survival("aa"), now);
   AddCrashes(1, { "aa", "bad" });
-  CHECK(State("bad") == PartState::Refused);
-  CHECK(State("aa") == PartState::Sound);
-  CHECK(State("cc") == PartState::Sound);
+  CHECK(State("bad") == TraitState::Refused);
+  CHECK(State("aa") == TraitState::Sound);
+  CHECK(State("cc") == TraitState::Sound);
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] of two parts that always come together the "
+                  "[CrashEvidence] of two traits that always come together the "
                   "later is refused, until the other crashes servers alone")
 {
   AddCrashes(3, { "bad", "beside" });
-  CHECK(State("beside") == PartState::Refused);
-  CHECK(State("bad") == PartState::Sound);
+  CHECK(State("beside") == TraitState::Refused);
+  CHECK(State("bad") == TraitState::Sound);
   AddCrashes(1, { "bad" });
-  CHECK(State("bad") == PartState::Refused);
-  CHECK(State("beside") == PartState::Sound);
+  CHECK(State("bad") == TraitState::Refused);
+  CHECK(State("beside") == TraitState::Sound);
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] two parts that each crash servers are both "
+                  "[CrashEvidence] two traits that each crash servers are both "
                   "refused")
 {
   for (int crash = 0; crash < 3; ++crash) {
@@ -151,13 +151,13 @@
     AddCrashes(1, { "aa", "worse" });
     evidence.Add(Survival("aa"), now);
   }
-  CHECK(State("bad") == PartState::Refused);
-  CHECK(State("worse") == PartState::Refused);
-  CHECK(State("aa") == PartState::Sound);
+  CHECK(State("bad") == TraitState::Refused);
+  CHECK(State("worse") == TraitState::Refused);
+  CHECK(State("aa") == TraitState::Sound);
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] a refused part is tried after a long time, "
+                  "[CrashEvidence] a refused trait is tried after a long time, "
                   "which doubles with each failed try")
 {
   AddCrashes(3, { "bad" });
@@ -165,98 +165,102 @@
   for (int round = 0; round < 4; ++round) {
     now += wait - seconds(1);
     evidence.Expire(now);
-    CHECK(State("bad") == PartState::Refused);
+    CHECK(State("bad") == TraitState::Refused);
     now += seconds(1);
     evidence.Expire(now);
-    CHECK(State("bad") == PartState::Suspect);
+    CHECK(State("bad") == TraitState::Suspect);
     evidence.Add(Crash({ "bad" }), now);
-    CHECK(State("bad") == PartState::Refused);
+    CHECK(State("bad") == TraitState::Refused);
     wait *= 2;
   }
 }
 
-TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] a gateway that starts late learns of a part "
-                  "that a failed try keeps refused")
+TEST_CASE_FIXTURE(
+  CrashFixture,
+  "[CrashEvidence] a gateway that starts late learns of a trait "
+  "that a failed try keeps refused")
 {
   AddCrashes(3, { "bad" });
   now += CrashEvidence::kMemory;
   evidence.Expire(now);
   evidence.Add(Crash({ "bad" }), now);
   now += CrashEvidence::kMemory / 2;
-  CHECK(State("bad") == PartState::Refused);
+  CHECK(State("bad") == TraitState::Refused);
   CrashEvidence started;
   started.Add(evidence.Report(now), now);
   started.Expire(now);
-  CHECK(started.StateOf("bad", "v1", now) == PartState::Refused);
+  CHECK(started.StateOf("bad", "v1", now) == TraitState::Refused);
   CHECK(started.Digest() == evidence.Digest());
 }
 
 TEST_CASE_FIXTURE(CrashFixture,
                   "[CrashEvidence] another software version may try a refused "
-                  "part once")
+                  "trait once")
 {
   AddCrashes(3, { "bad" });
   now += seconds(1);
-  const PromptDecision decision = Decide({ "bad" }, { "v1", "v2" });
-  CHECK(decision.step == PromptStep::Try);
+  const TraitDecision decision = Decide({ "bad" }, { "v1", "v2" });
+  CHECK(decision.step == TraitStep::Try);
   CHECK(decision.excludedVersions == std::vector<std::string>{ "v1" });
   SUBCASE("a crash refuses it there as well")
   {
     AddCrashes(1, { "bad" }, "v2");
-    CHECK(Decide({ "bad" }, { "v1", "v2" }).step == PromptStep::Refuse);
+    CHECK(Decide({ "bad" }, { "v1", "v2" }).step == TraitStep::Refuse);
   }
   SUBCASE("a survival makes it sound there only")
   {
     evidence.Add(Survival("bad", "v2"), now);
-    CHECK(Decide({ "bad" }, { "v1", "v2" }).step == PromptStep::Send);
-    CHECK(Decide({ "bad" }, { "v1" }).step == PromptStep::Refuse);
+    CHECK(Decide({ "bad" }, { "v1", "v2" }).step == TraitStep::Send);
+    CHECK(Decide({ "bad" }, { "v1" }).step == TraitStep::Refuse);
   }
 }
 
-TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] a request with a suspect part waits for the "
-                  "one that tries it")
+TEST_CASE_FIXTURE(
+  CrashFixture,
+  "[CrashEvidence] a request with a suspect trait waits for the "
+  "one that tries it")
 {
   AddCrashes(1, { "aa" });
-  CHECK(Decide({ "aa" }).step == PromptStep::Wait);
+  CHECK(Decide({ "aa" }).step == TraitStep::Wait);
   now += CrashEvidence::kCrashSpacing;
-  CHECK(Decide({ "aa" }).step == PromptStep::Try);
+  CHECK(Decide({ "aa" }).step == TraitStep::Try);
   CHECK(Decide({ "aa" }).suspects == std::vector<std::string>{ "aa" });
   trials.OnTrial({ 1, 1, { "aa" }, false }, now);
-  CHECK(Decide({ "bb", "aa" }).step == PromptStep::Wait);
-  CHECK(Decide({ "bb" }).step == PromptStep::Send);
+  CHECK(Decide({ "bb", "aa" }).step == TraitStep::Wait);
+  CHECK(Decide({ "bb" }).step == TraitStep::Send);
   trials.OnTrial({ 1, 1, {}, true }, now);
-  CHECK(Decide({ "aa" }).step == PromptStep::Try);
+  CHECK(Decide({ "aa" }).step == TraitStep::Try);
   trials.OnTrial({ 1, 2, { "aa" }, false }, now);
-  now += PartTrials::kMaxDuration;
-  CHECK(Decide({ "aa" }).step == PromptStep::Try);
+  now += TraitTrials::kMaxDuration;
+  CHECK(Decide({ "aa" }).step == TraitStep::Try);
 }
 
-TEST_CASE_FIXTURE(CrashFixture,
-                  "[CrashEvidence] memory is bounded under any number of parts "
-                  "and crashes")
+TEST_CASE_FIXTURE(
+  CrashFixture,
+  "[CrashEvidence] memory is bounded under any number of traits "
+  "and crashes")
 {
   for (int crash = 0; crash < 1'000; ++crash) {
-    std::vector<std::string> parts;
-    parts.reserve(200);
-    for (int part = 0; part < 200; ++part) {
-      parts.push_back(std::to_string(crash % 50) + "-" + std::to_string(part));
+    std::vector<std::string> traits;
+    traits.reserve(200);
+    for (int trait = 0; trait < 200; ++trait) {
+      traits.push_back(std::to_string(crash % 50) + "-" +
+                       std::to_string(trait));
     }
-    ServerCrash one = Crash(parts).crashes.front();
+    ServerCrash one = Crash(traits).crashes.front();
     evidence.Add({ { one }, {} }, now + milliseconds(crash));
   }
   const CrashReport report = evidence.Report(now + seconds(2));
   CHECK(report.crashes.size() <= CrashEvidence::kMaxCrashes);
   CHECK(std::ranges::all_of(report.crashes, [](const ServerCrash& aCrash) {
-    return aCrash.parts.size() <= CrashEvidence::kMaxPartsPerCrash;
+    return aCrash.traits.size() <= CrashEvidence::kMaxTraitsPerCrash;
   }));
   evidence.Expire(now + CrashEvidence::kMemory * 3);
   CHECK(evidence.Report(now).crashes.empty());
-  CHECK(PartName(std::string(10'000, 'a')).size() <= 64);
+  CHECK(TraitName(std::string(10'000, 'a')).size() <= 64);
   RecentSurvivals survivals;
-  for (int part = 0; part < 10'000; ++part) {
-    survivals.Add(std::to_string(part), now);
+  for (int trait = 0; trait < 10'000; ++trait) {
+    survivals.Add(std::to_string(trait), now);
   }
   CHECK(survivals.HasSince("0", Instant{}, now));
   CHECK_FALSE(survivals.HasSince("9999", Instant{}, now));
@@ -264,7 +268,7 @@
 
 TEST_CASE_FIXTURE(CrashFixture,
                   "[CrashEvidence] gateways that get the same reports in any "
-                  "order agree on a part that crashes servers")
+                  "order agree on a trait that crashes servers")
 {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     std::mt19937_64 random(seed);
@@ -284,7 +288,7 @@
         for (ServerCrash& crash : aged.crashes) {
           crash.age = end - (now + at);
         }
-        for (PartSurvival& survival : aged.survivals) {
+        for (TraitSurvival& survival : aged.survivals) {
           survival.age = end - (now + at);
         }
         gateway.Add(aged, end);
@@ -298,8 +302,8 @@
     }
     CAPTURE(seed);
     for (const CrashEvidence& gateway : gateways) {
-      CHECK(gateway.StateOf("bad", "v1", end) == PartState::Refused);
-      CHECK(gateway.StateOf("aa", "v1", end) == PartState::Sound);
+      CHECK(gateway.StateOf("bad", "v1", end) == TraitState::Refused);
+      CHECK(gateway.StateOf("aa", "v1", end) == TraitState::Sound);
       CHECK(gateway.Digest() == gateways.front().Digest());
     }
   }
@@ -307,9 +311,9 @@
 
 TEST_CASE_FIXTURE(CrashFixture,
                   "[CrashEvidence] where a tenth of the servers crash over and "
-                  "over on no part, rare parts stay served")
+                  "over on no trait, rare traits stay served")
 {
-  constexpr int kParts = 40;
+  constexpr int kTraits = 40;
   constexpr double kCrashingShare = 0.1;
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     std::mt19937_64 random(seed);
@@ -320,15 +324,15 @@
     // Each server of the tenth crashes every 3 s, and a response begins after
     // 300 ms: a tenth of the requests there are cut.
     for (int step = 0; step < 4'000; ++step, at += milliseconds(150)) {
-      const std::string part = "p" + std::to_string(random() % kParts);
+      const std::string trait = "p" + std::to_string(random() % kTraits);
       ++requests;
-      if (fleet.StateOf(part, "v1", at) == PartState::Refused) {
+      if (fleet.StateOf(trait, "v1", at) == TraitState::Refused) {
         ++refused;
         continue;
       }
       const bool isCut =
         std::bernoulli_distribution(kCrashingShare * 0.1)(random);
-      fleet.Add(isCut ? Crash({ part }) : Survival(part), at);
+      fleet.Add(isCut ? Crash({ trait }) : Survival(trait), at);
       fleet.Expire(at);
     }
     CAPTURE(seed);
