--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -10,6 +10,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -134,7 +135,10 @@
 
 bool CellReplica::IsCrashedBy(const ClientConnection& aClient) const
 {
-  return HasSharedPart(Header(aClient, "Prompt-Prefix"), crash_.part);
+  const auto& request = aClient.GetRequest();
+  return HasSharedPart(Header(aClient, "Prompt-Prefix"), crash_.part) ||
+         (!crash_.request.empty() && (request.body() == crash_.request ||
+                                      request.target() == crash_.request));
 }
 
 asio::awaitable<void> CellReplica::Sleep(milliseconds aTime)
@@ -189,6 +193,7 @@
   execution.version = version_;
   execution.customer = Header(aClient, "Tenant");
   execution.prompt = Header(aClient, "Prompt-Prefix");
+  execution.body = aClient.GetRequest().body();
   execution.path = std::string(target.data(), target.size());
   execution.deadlineMs = std::atoll(Header(aClient, "Deadline-Ms").c_str());
   execution.isResumed = !Header(aClient, "Last-Event-Id").empty();
@@ -248,6 +253,10 @@
 {
   RecordExecution(aClient);
   co_await Sleep(kServiceTime);
+  if (IsCrashedBy(aClient)) {
+    Crash(crash_.downTime);
+    co_return false;
+  }
   if (DrawFault(faults_.hang)) {
     co_await Sleep(std::chrono::seconds(20));
   }
@@ -337,6 +346,17 @@
   co_return isOpen;
 }
 
+bool CellReplica::HasCrashingPiece(const json::value& aCall) const
+{
+  return !crash_.pieceKey.empty() &&
+         std::ranges::any_of(
+           aCall.at("items").as_array(), [&](const json::value& aItem) {
+             const json::value* const key =
+               aItem.as_object().if_contains("key");
+             return key && key->as_string() == crash_.pieceKey;
+           });
+}
+
 asio::awaitable<bool> CellReplica::ServePieces(ClientConnection& aClient)
 {
   const json::value body = json::parse(aClient.GetRequest().body());
@@ -347,6 +367,10 @@
   maxConcurrentCalls_ = std::max(maxConcurrentCalls_, calls_);
   co_await Sleep(kBatchCallTime);
   --calls_;
+  if (HasCrashingPiece(body)) {
+    Crash(crash_.downTime);
+    co_return false;
+  }
   json::array items;
   for (const json::value& item : body.at("items").as_array()) {
     ++pieces_;
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -5,6 +5,8 @@
 #include "tests/cell/cell_response_writer.h"
 #include "tests/cell/cell_store.h"
 
+#include <boost/json/value.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -25,7 +27,8 @@
   std::string replica;
   std::string customer;
   std::string path;
-  std::string prompt;  ///< Parts of the prompt; empty without one.
+  std::string prompt; ///< Parts of the prompt; empty without one.
+  std::string body;
   std::string version; ///< Software version of the replica.
   std::int64_t deadlineMs = 0;
   bool isResumed = false;
@@ -39,12 +42,14 @@
   Instant at{};
 };
 
-/** A part of prompts that ends a replica which begins to respond to it. */
+/** What ends a replica which begins to respond to it. */
 struct CellCrash
 {
-  std::string part; ///< Empty: no part does.
+  std::string part; ///< Of a prompt; empty: no part does.
   int events = 0;   ///< Events that are sent before the end.
   std::chrono::milliseconds downTime{ 1'500 };
+  std::string request{};  ///< Its body or its path; empty: no request does.
+  std::string pieceKey{}; ///< Of a piece; empty: no piece does.
 };
 
 /** Whether a prompt has this part, other than as its last one. */
@@ -157,6 +162,7 @@
   std::string version_ = "v1";
   void Listen();
   bool IsCrashedBy(const ClientConnection& aClient) const;
+  bool HasCrashingPiece(const boost::json::value& aCall) const;
 
   /** The last one listens; those before keep the connections that they had. */
   std::vector<std::unique_ptr<EdgeListener>> listeners_;
--- a/tests/cell/crash_check.h
+++ b/tests/cell/crash_check.h
@@ -16,6 +16,8 @@
 constexpr Duration kGuiltyPartContact = std::chrono::seconds(3);
 /** Crashes after which a part must be known, and later sends allowed. */
 constexpr std::size_t kCrashesUntilKnown = 5;
+/** The same for a request as a whole. */
+constexpr std::size_t kRequestCrashesUntilKnown = 3;
 constexpr std::size_t kMaxLateSends = 3;
 
 /** Times of the crashes of all replicas, in order. */
@@ -31,6 +33,24 @@
   return times;
 }
 
+/** Number of the chosen executions that were due not to be: later than
+ * `kGuiltyPartContact` after this many crashes. */
+template<typename Choice>
+std::size_t SendsAfterCrash(std::span<const CellExecution> aExecutions,
+                            std::span<const Instant> aCrashes,
+                            std::size_t aUntilKnown,
+                            Choice aIsChosen)
+{
+  if (aCrashes.size() < aUntilKnown) {
+    return 0;
+  }
+  const Instant due = aCrashes[aUntilKnown - 1] + kGuiltyPartContact;
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aExecutions, [&](const CellExecution& aExecution) {
+      return aExecution.at > due && aIsChosen(aExecution);
+    }));
+}
+
 /** Number of requests with a part that reached replicas although it was due to
  * be known. */
 inline std::size_t SendsAfterFifthCrash(
@@ -38,14 +58,12 @@
   std::span<const Instant> aCrashes,
   const std::string& aPart)
 {
-  if (aCrashes.size() < kCrashesUntilKnown) {
-    return 0;
-  }
-  const Instant due = aCrashes[kCrashesUntilKnown - 1] + kGuiltyPartContact;
-  return static_cast<std::size_t>(
-    std::ranges::count_if(aExecutions, [&](const CellExecution& aExecution) {
-      return aExecution.at > due && HasSharedPart(aExecution.prompt, aPart);
-    }));
+  return SendsAfterCrash(aExecutions,
+                         aCrashes,
+                         kCrashesUntilKnown,
+                         [&](const CellExecution& aExecution) {
+                           return HasSharedPart(aExecution.prompt, aPart);
+                         });
 }
 
 } // namespace gypsum::tests
