Keep requests that crash servers away from servers

Cause: crashes of servers were counted by shared parts of prompts only; a request without a prompt was not even followed, and its retries and repeats got the next server. Change: the request as a whole (customer, method, host, path, query, body) is one more trait of the same evidence, for plain, streamed and staged requests alike. Of traits that fit equally the most specific one is blamed. Calls for pieces are followed too: after a crash each of their jobs goes alone. A failure that a server reports counts as survival. Why it works: three crashes of one trait refuse it at all gateways, before each send and at the queue of each stage service; a hot request clears itself by its complete responses. Requests of the test of crashing prompt parts have bodies of their own now, as requests with different prompts do; else the request itself explains the crashes as well as the part.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -185,6 +185,31 @@
   jobs_.erase(id);
 }
 
+std::vector<PieceJobId> BatchQueue::WaitingJobs() const
+{
+  std::vector<PieceJobId> waiting;
+  for (const auto& [id, state] : jobs_) {
+    if (!state.waiting.empty()) {
+      waiting.push_back(id);
+    }
+  }
+  return waiting;
+}
+
+void BatchQueue::Admit(PieceJobId aId, PieceAdmission aAdmission)
+{
+  if (JobState* const state = StateOf(aId)) {
+    state->admission = aAdmission;
+  }
+}
+
+void BatchQueue::Fail(PieceJobId aId)
+{
+  if (JobState* const state = StateOf(aId)) {
+    Finish(*state, PieceFailure::Error);
+  }
+}
+
 std::vector<PieceJobEnd> BatchQueue::TakeEnded()
 {
   return std::exchange(ended_, {});
@@ -233,7 +258,7 @@
   std::vector<JobState*> states;
   std::vector<ScheduledJob> jobs;
   for (auto& [id, state] : jobs_) {
-    if (state.waiting.empty()) {
+    if (state.waiting.empty() || state.admission == PieceAdmission::Wait) {
       continue;
     }
     const auto pieces = static_cast<std::uint32_t>(state.waiting.size());
@@ -311,7 +336,8 @@
     const bool isOtherZone = !items.empty() && !isBacklog &&
                              !state->job.preferredZone.empty() &&
                              state->job.preferredZone != aZone;
-    if (isOtherZone) {
+    const bool isAlone = state->admission == PieceAdmission::Alone;
+    if (isOtherZone || (isAlone && !items.empty())) {
       continue;
     }
     if (!Fits(*state, aFreeMemory) || (isMemoryReserved && IsLarge(*state))) {
@@ -328,6 +354,9 @@
       items.push_back({ state->job.id, state->waiting.back() });
       state->waiting.pop_back();
     }
+    if (isAlone && !items.empty()) {
+      break;
+    }
   }
   return items;
 }
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -31,6 +31,7 @@
 {
   PieceJobId id;
   std::string attempt; ///< Attempt id of the client.
+  std::string request; ///< Name of the request, see `RequestIdentity`.
   std::uint32_t stage = 0;
   std::uint32_t pieces = 0;
   bool readsResults = false; ///< Whether it reads results of earlier stages.
@@ -53,6 +54,14 @@
   None,         ///< No failure.
 };
 
+/** How the pieces of a job may be sent. */
+enum class PieceAdmission
+{
+  Shared, ///< In calls with pieces of other jobs.
+  Alone,  ///< In one call that has no pieces of other jobs.
+  Wait,   ///< Not now.
+};
+
 /** Outcome of a job; one handle per piece, none after a failure. */
 struct PieceJobEnd
 {
@@ -128,6 +137,12 @@
              Instant aNow);
   /** Starts no call at a replica until a time. */
   void Block(std::string_view aReplica, Instant aUntil);
+  /** Jobs with pieces that are not in a call. */
+  std::vector<PieceJobId> WaitingJobs() const;
+  /** Holds for the calls that start from now on. */
+  void Admit(PieceJobId aId, PieceAdmission aAdmission);
+  /** Ends a job as failed by its servers. */
+  void Fail(PieceJobId aId);
   /** Takes the jobs that have ended. */
   std::vector<PieceJobEnd> TakeEnded();
   /** Takes the results that no job is waiting for any more. */
@@ -153,6 +168,7 @@
     std::vector<std::uint32_t> waiting; ///< Pieces that are not in a call.
     std::uint32_t missing = 0;          ///< Pieces without a result.
     std::uint32_t failures = 0;
+    PieceAdmission admission = PieceAdmission::Shared;
     bool isInTime = true; ///< Meets its due time by the last schedule.
   };
   struct ReplicaState
--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <numeric>
 #include <optional>
 
 namespace gypsum {
@@ -104,13 +105,26 @@
   return isNew;
 }
 
+std::size_t CrashEvidence::CountTraits() const
+{
+  return std::accumulate(crashes_.begin(),
+                         crashes_.end(),
+                         std::size_t{ 0 },
+                         [](std::size_t aSum, const auto& aItem) {
+                           return aSum + aItem.second.positions.size();
+                         });
+}
+
 void CrashEvidence::BoundMemory()
 {
-  while (crashes_.size() > kMaxCrashes) {
-    crashes_.erase(
+  std::size_t traits = CountTraits();
+  while (crashes_.size() > kMaxCrashes || traits > kMaxTraits) {
+    const auto oldest =
       std::ranges::min_element(crashes_, {}, [](const auto& aItem) {
         return std::pair(aItem.second.isExplained, aItem.second.at);
-      }));
+      });
+    traits -= oldest->second.positions.size();
+    crashes_.erase(oldest);
   }
   while (survivals_.size() > kMaxSurvivals) {
     survivals_.erase(std::ranges::min_element(
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <span>
@@ -14,15 +15,23 @@
 
 namespace gypsum {
 
-/** Something that several requests may have in common. */
+/** Something that several requests may have in common: a part of their prompt,
+ * or that they are the same request, sent again. */
 struct RequestTrait
 {
-  std::string name;           ///< See `TraitName`.
-  std::uint32_t position = 0; ///< In the prompt, from zero.
+  std::string name;
+  /** Of traits that explain equally many crashes, the one with the highest
+   * position is the likelier cause: parts of a prompt in their order, then the
+   * request as a whole. */
+  std::uint32_t position = 0;
 
   bool operator==(const RequestTrait&) const = default;
 };
 
+/** Position of the trait that a request has in common with its repeats only. */
+inline constexpr std::uint32_t kWholeRequest =
+  std::numeric_limits<std::uint32_t>::max();
+
 /** Name of a part of a prompt, bounded in length; clients choose the ids. */
 std::string TraitName(std::string_view aId);
 
@@ -105,7 +114,9 @@
   /** Versions that a trait has crashed until no other one may try it. */
   static constexpr std::size_t kMaxCrashedVersions = 3;
   static constexpr std::size_t kMaxCrashes = 256;
-  static constexpr std::size_t kMaxTraitsPerCrash = 128;
+  static constexpr std::size_t kMaxTraitsPerCrash = 256;
+  /** Over all crashes: requests that are never sent twice leave one each. */
+  static constexpr std::size_t kMaxTraits = 4'096;
   static constexpr std::size_t kMaxSurvivals = 512;
 
   /** Adds what is new and matters; false if nothing does. */
@@ -161,6 +172,7 @@
   void Judge();
   std::map<std::string, Score, std::less<>> ScoreUnexplained() const;
   void BoundMemory();
+  std::size_t CountTraits() const;
 
   std::map<CrashKey, Crash> crashes_;
   std::map<SurvivalKey, Survival> survivals_;
--- a/core/gateway/recent_survivals.cpp
+++ b/core/gateway/recent_survivals.cpp
@@ -9,9 +9,6 @@
     found->second = aNow;
     return;
   }
-  if (lastAt_.size() >= kMaxTraits) {
-    Expire(aNow);
-  }
   if (lastAt_.size() < kMaxTraits) {
     lastAt_.emplace(std::string(aTrait), aNow);
   }
--- a/core/gateway/recent_survivals.h
+++ b/core/gateway/recent_survivals.h
@@ -14,7 +14,8 @@
 {
 public:
   static constexpr Duration kMemory = std::chrono::seconds(10);
-  static constexpr std::size_t kMaxTraits = 2'048;
+  /** Some of each request, at tens of requests a second. */
+  static constexpr std::size_t kMaxTraits = 8'192;
 
   void Add(std::string_view aTrait, Instant aNow);
   /** Whether servers have survived the trait after a time, and lately. */
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -211,6 +211,7 @@
   to.set_result_bytes(aFrom.job.resultBytes);
   to.set_preferred_zone(aFrom.job.preferredZone);
   to.set_zone_bytes(aFrom.job.zoneBytes);
+  to.set_request(aFrom.job.request);
 }
 
 void FillBody(proto::Envelope& aTo, const PieceAccepted& aFrom)
@@ -636,6 +637,7 @@
   request.job.resultBytes = aFrom.result_bytes();
   request.job.preferredZone = aFrom.preferred_zone();
   request.job.zoneBytes = aFrom.zone_bytes();
+  request.job.request = aFrom.request();
   return request;
 }
 
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -119,9 +119,6 @@
   std::vector<std::string> aSuspects)
 {
   const SendNumber number = ++lastNumber_;
-  if (aTraits->empty()) {
-    return number;
-  }
   detector_.OnSent(number, std::move(aBackend), aTraits);
   if (!aSuspects.empty()) {
     ownTrials_.insert(number);
--- a/servers/gateway/crash_service.h
+++ b/servers/gateway/crash_service.h
@@ -41,6 +41,8 @@
 
   CrashService(GatewayState& aState, PeerExchange& aPeers);
 
+  /** Whether any trait is not sound. */
+  bool HasVerdicts() const { return !evidence_.Verdicts().empty(); }
   /** Decides at once, without waiting for other requests. */
   TraitDecision Decide(const TraitQuestion& aRequest) const;
   /** Decides, and waits while other requests try the suspect traits; returns
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -56,9 +56,9 @@
   PlatformState platformState_;
   PeerExchange peers_;
   LimitService limits_;
+  CrashService crashes_;
   PieceService pieces_;
   StreamOriginService origins_;
-  CrashService crashes_;
   StoreFollower store_;
   RequestHandler requests_;
   Reload reload_;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -30,16 +30,29 @@
 /** Results that wait for a place in the limit of their server. */
 constexpr std::size_t kMaxHeldReleases = 4'096;
 constexpr std::size_t kMaxResponseBytes = 1'048'576;
+/** How often jobs that wait for their turn are looked at. */
+constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
 constexpr unsigned kOk = 200;
 
+std::shared_ptr<const RequestTraits> TraitsOf(const std::string& aRequestName)
+{
+  RequestTraits traits;
+  if (!aRequestName.empty()) {
+    traits.push_back({ aRequestName, kWholeRequest });
+  }
+  return std::make_shared<const RequestTraits>(std::move(traits));
+}
+
 } // namespace
 
 PieceService::PieceService(GatewayState& aState,
                            PeerExchange& aPeers,
-                           LimitService& aLimits)
+                           LimitService& aLimits,
+                           CrashService& aCrashes)
   : state_(aState)
   , peers_(aPeers)
   , limits_(aLimits)
+  , crashes_(aCrashes)
 {
 }
 
@@ -204,12 +217,20 @@
     return;
   }
   const auto& replicas = state_.registry.Usable(aService);
+  AdmitJobs(aService, queue->queue);
   while (auto batch = queue->queue.Next(replicas, Now().steady)) {
+    const auto send = Follow(aService, queue->queue, *batch);
     asio::co_spawn(
-      state_.loop, RunBatch(aService, std::move(*batch)), asio::detached);
+      state_.loop, RunBatch(aService, std::move(*batch), send), asio::detached);
+    AdmitJobs(aService, queue->queue);
   }
   DeliverFinishedJobs(*queue);
-  if (const auto wakeAt = queue->queue.WakeAt()) {
+  auto wakeAt = queue->queue.WakeAt();
+  if (crashes_.HasVerdicts() && queue->queue.WaitingPieces() > 0) {
+    const Instant next = Now().steady + kTurnPollInterval;
+    wakeAt = std::min(wakeAt.value_or(next), next);
+  }
+  if (wakeAt) {
     queue->timer.expires_at(*wakeAt);
     queue->timer.async_wait(
       [this, service = aService](boost::system::error_code aError) {
@@ -311,7 +332,65 @@
   return urgency;
 }
 
-asio::awaitable<void> PieceService::RunBatch(std::string aService, Batch aBatch)
+void PieceService::AdmitJobs(const std::string& aService, BatchQueue& aQueue)
+{
+  const bool hasVerdicts = crashes_.HasVerdicts();
+  for (const PieceJobId& id : aQueue.WaitingJobs()) {
+    if (!hasVerdicts) {
+      aQueue.Admit(id, PieceAdmission::Shared);
+      continue;
+    }
+    const TraitDecision decision =
+      crashes_.Decide({ TraitsOf(aQueue.Find(id)->request), aService, {} });
+    // Pieces are not placed by software version.
+    if (decision.step == TraitStep::Refuse ||
+        !decision.excludedVersions.empty()) {
+      aQueue.Fail(id);
+      continue;
+    }
+    aQueue.Admit(id,
+                 decision.step == TraitStep::Wait  ? PieceAdmission::Wait
+                 : decision.step == TraitStep::Try ? PieceAdmission::Alone
+                                                   : PieceAdmission::Shared);
+  }
+}
+
+CrashService::SendNumber PieceService::Follow(const std::string& aService,
+                                              const BatchQueue& aQueue,
+                                              const Batch& aBatch)
+{
+  RequestTraits traits;
+  for (const BatchItem& item : aBatch.items) {
+    const std::string& name = aQueue.Find(item.job)->request;
+    const bool isNew =
+      std::ranges::find(traits, name, &RequestTrait::name) == traits.end();
+    if (isNew && !name.empty()) {
+      traits.push_back({ name, kWholeRequest });
+    }
+  }
+  auto shared = std::make_shared<const RequestTraits>(std::move(traits));
+  TraitDecision decision = crashes_.Decide({ shared, aService, {} });
+  return crashes_.OnSent(aBatch.backend, shared, std::move(decision.suspects));
+}
+
+void PieceService::ReportEnd(CrashService::SendNumber aSend, BatchEnd aEnd)
+{
+  switch (aEnd) {
+    case BatchEnd::Answered:
+      crashes_.Detector().OnEvents(aSend, true);
+      break;
+    case BatchEnd::Lost:
+      crashes_.Detector().OnBroken(aSend);
+      break;
+    default:
+      crashes_.Detector().OnEnded(aSend);
+      break;
+  }
+}
+
+asio::awaitable<void> PieceService::RunBatch(std::string aService,
+                                             Batch aBatch,
+                                             CrashService::SendNumber aSend)
 {
   const Instant begin = Now().steady;
   std::vector<BatchItemResult> results;
@@ -319,6 +398,11 @@
   if (co_await limits_.Acquire(aBatch.backend, UrgencyOf(aService, aBatch))) {
     end = co_await CallReplica(aService, aBatch, results);
   }
+  ReportEnd(aSend, end);
+  if (end == BatchEnd::Lost) {
+    // Its pieces may have crashed the server and would crash the next.
+    co_await crashes_.Detector().AwaitProbe(aBatch.backend);
+  }
   const Instant now = Now().steady;
   const bool isSuccess = end == BatchEnd::Answered;
   state_.log.Write(isSuccess ? LogClass::Normal : LogClass::Failure,
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -4,6 +4,7 @@
 #include "core/gateway/gateway_messages.h"
 #include "core/gateway/stage_plan.h"
 #include "servers/gateway/cancellation_token.h"
+#include "servers/gateway/crash_service.h"
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
@@ -33,7 +34,8 @@
 public:
   PieceService(GatewayState& aState,
                PeerExchange& aPeers,
-               LimitService& aLimits);
+               LimitService& aLimits,
+               CrashService& aCrashes);
 
   void Start();
   /** Computes the pieces of a job; returns their handles or the failure. */
@@ -95,7 +97,19 @@
   void ReleaseLocally(std::vector<std::string> aHandles);
   /** Priority of the most urgent job of a call. */
   std::uint32_t UrgencyOf(const std::string& aService, const Batch& aBatch);
-  boost::asio::awaitable<void> RunBatch(std::string aService, Batch aBatch);
+  /** Keeps jobs that may crash servers apart from others, and fails those that
+   * do. */
+  void AdmitJobs(const std::string& aService, BatchQueue& aQueue);
+  /** Has the crash detector follow a call; its jobs are what it may crash on.
+   */
+  CrashService::SendNumber Follow(const std::string& aService,
+                                  const BatchQueue& aQueue,
+                                  const Batch& aBatch);
+  boost::asio::awaitable<void> RunBatch(std::string aService,
+                                        Batch aBatch,
+                                        CrashService::SendNumber aSend);
+  /** Tells the crash detector how a call has ended. */
+  void ReportEnd(CrashService::SendNumber aSend, BatchEnd aEnd);
   /** Makes one call; sets `aResults` only if it returns `Answered`. */
   boost::asio::awaitable<BatchEnd> CallReplica(
     const std::string& aService,
@@ -111,6 +125,7 @@
   GatewayState& state_;
   PeerExchange& peers_;
   LimitService& limits_;
+  CrashService& crashes_;
   std::map<std::string, std::unique_ptr<Queue>, std::less<>> queues_;
   std::map<std::uint64_t, std::shared_ptr<PendingJob>> pendingJobs_;
   std::map<PieceJobId, Requester> requesters_;
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -64,8 +64,9 @@
   }
 }
 
-/** The shared parts of a prompt, each once. */
-std::shared_ptr<const RequestTraits> TraitsOf(const PromptSpec& aPrompt)
+/** The request itself and the shared parts of its prompt, each once. */
+std::shared_ptr<const RequestTraits> TraitsOf(const std::string& aRequestName,
+                                              const PromptSpec& aPrompt)
 {
   RequestTraits traits;
   for (const PromptPart& part : aPrompt.SharedParts()) {
@@ -74,6 +75,7 @@
       traits.push_back({ name, static_cast<std::uint32_t>(traits.size()) });
     }
   }
+  traits.push_back({ aRequestName, kWholeRequest });
   return std::make_shared<const RequestTraits>(std::move(traits));
 }
 
@@ -231,7 +233,7 @@
                                   { host.data(), host.size() },
                                   { target.data(), target.size() },
                                   request.body() });
-  aAttempt.traits = TraitsOf(aAttempt.parameters.prompt);
+  aAttempt.traits = TraitsOf(aAttempt.requestName, aAttempt.parameters.prompt);
   return std::nullopt;
 }
 
@@ -378,6 +380,7 @@
   const StagePlan& plan = aAttempt.plan;
   PieceJob job;
   job.attempt = aAttempt.parameters.id;
+  job.request = aAttempt.requestName;
   job.stage = aStage;
   job.pieces = plan.PiecesOf(aStage);
   job.readsResults = !plan.SpecOf(aStage).inputStages.empty();
@@ -493,6 +496,12 @@
       } else {
         failure = end.failure == PieceFailure::Late ? ErrorKind::Overloaded
                                                     : ErrorKind::NoReplica;
+        const TraitDecision decision = crashes_.Decide(
+          { aAttempt.traits, aAttempt.plan.SpecOf(stage).service, {} });
+        if (decision.step == TraitStep::Refuse) {
+          failure = ErrorKind::CrashingRequest;
+          aAttempt.refusedTrait = decision.trait;
+        }
       }
     }
     pieces_.Release(aAttempt.plan.TakeReleasable());
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -286,7 +286,8 @@
 {
   const bool isBroken = aResult.failure == SendFailure::Lost ||
                         aResult.failure == SendFailure::Interrupted;
-  if (!aResult.failure) {
+  // A server that answers with a failure is there to answer.
+  if (!aResult.failure || *aResult.failure == SendFailure::Failed) {
     crashes_.Detector().OnEvents(sendNumber_, true);
   } else if (isBroken && aResult.outcome != SendOutcome::Abandoned) {
     crashes_.Detector().OnBroken(sendNumber_);
--- a/tests/cell/test_crashing_prompt.cpp
+++ b/tests/cell/test_crashing_prompt.cpp
@@ -43,6 +43,7 @@
   {
     const std::lock_guard lock(mutex);
     CellRequest request = cell.MakeStreamRequest(aPath);
+    request.body = request.attemptId;
     request.prompt = "aa:60," + aParts + request.attemptId + ":40";
     return request;
   }
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -68,10 +68,12 @@
   request.service = "mail";
   request.job.preferredZone = "b";
   request.job.zoneBytes = 7'680'000;
+  request.job.request = "request:a/1";
   const auto job = Decode(Encode({ { { "gateway-1", 7 }, 9, 3 }, request }));
   REQUIRE(job);
   CHECK(std::get<PieceRequest>(job->body).job.preferredZone == "b");
   CHECK(std::get<PieceRequest>(job->body).job.zoneBytes == 7'680'000);
+  CHECK(std::get<PieceRequest>(job->body).job.request == "request:a/1");
 }
 
 TEST_CASE("[PeerCodec] the registry is transferred with software versions")
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -524,4 +524,51 @@
   CHECK(othersServed > (number - urgent.size()) / 4);
 }
 
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] a job that must be alone shares no call")
+{
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    queue.Add(Job(number, 2));
+  }
+  queue.Admit({ 1, 2 }, PieceAdmission::Alone);
+  queue.Admit({ 1, 4 }, PieceAdmission::Alone);
+  std::size_t pieces = 0;
+  for (int round = 0; round < 4; ++round) {
+    for (const Batch& batch : TakeAll()) {
+      std::set<std::uint64_t> jobs;
+      for (const BatchItem& item : batch.items) {
+        jobs.insert(item.job.number);
+      }
+      const bool isSuspectIn = jobs.contains(2) || jobs.contains(4);
+      CHECK((!isSuspectIn || jobs.size() == 1));
+      pieces += batch.items.size();
+      queue.OnEnd(batch, BatchEnd::Answered, SuccessfulResults(batch), now);
+    }
+    now += milliseconds(300);
+  }
+  CHECK(pieces == 8);
+  CHECK(queue.TakeEnded().size() == 4);
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] a job that must wait holds back no other and "
+                  "one that is failed ends")
+{
+  queue.Add(Job(1, 2));
+  queue.Add(Job(2, 2));
+  queue.Admit({ 1, 1 }, PieceAdmission::Wait);
+  CHECK(queue.WaitingJobs().size() == 2);
+  for (const Batch& batch : TakeAll()) {
+    CHECK(std::ranges::all_of(batch.items, [](const BatchItem& aItem) {
+      return aItem.job.number == 2;
+    }));
+  }
+  CHECK(queue.WaitingJobs() == std::vector{ PieceJobId{ 1, 1 } });
+  queue.Fail({ 1, 1 });
+  const auto ended = queue.TakeEnded();
+  REQUIRE(ended.size() == 1);
+  CHECK(ended.front().id == PieceJobId{ 1, 1 });
+  CHECK(ended.front().failure == PieceFailure::Error);
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -340,4 +340,47 @@
   }
 }
 
+TEST_CASE_FIXTURE(CrashFixture,
+                  "[CrashEvidence] a request that is the same in all crashes "
+                  "is refused rather than the parts that it shares")
+{
+  const auto addCrash = [&](const std::string& aRequest) {
+    now += seconds(1);
+    CrashReport report = Crash({ "aa" });
+    report.crashes.front().traits.push_back({ aRequest, kWholeRequest });
+    evidence.Add(report, now);
+  };
+  for (int crash = 0; crash < 3; ++crash) {
+    addCrash("request:a/1");
+  }
+  CHECK(State("request:a/1") == TraitState::Refused);
+  CHECK(State("aa") == TraitState::Sound);
+  // Another request with the part crashes a server too: the part explains more.
+  addCrash("request:a/2");
+  CHECK(State("aa") == TraitState::Refused);
+  CHECK(State("request:a/1") == TraitState::Sound);
+  CHECK(State("request:a/2") == TraitState::Sound);
+}
+
+TEST_CASE_FIXTURE(CrashFixture,
+                  "[CrashEvidence] requests that are never sent twice take "
+                  "bounded memory")
+{
+  std::size_t traits = 0;
+  for (int crash = 0; crash < 200; ++crash) {
+    now += seconds(1);
+    CrashReport report = Crash({});
+    for (int request = 0; request < 200; ++request) {
+      report.crashes.front().traits.push_back(
+        { "request:a/" + std::to_string(++lastNumber), kWholeRequest });
+    }
+    evidence.Add(report, now);
+  }
+  for (const ServerCrash& crash : evidence.Report(now).crashes) {
+    traits += crash.traits.size();
+  }
+  CHECK(traits <= CrashEvidence::kMaxTraits);
+  CHECK(evidence.Verdicts().size() <= CrashEvidence::kMaxTraits);
+}
+
 } // namespace gypsum::tests
