Let a suspect request wait for half of its time at most

Cause: a request whose trait others try waited up to 1.5 s, which for plain requests is their whole time; it was then refused too late for its client to come back. Change: the wait ends at half of what is left. Result: the tests of crashing requests and prompts pass; not measured apart.

--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -184,15 +184,21 @@
                              attempt_.route->gapTarget * kEventTimeoutGaps));
 }
 
+Instant SendLoop::TurnDeadline() const
+{
+  // The other half is for the send, or for the client to come back.
+  const Instant now = Now().steady;
+  return now + std::min(kMaxTurnWait, (attempt_.responseDeadline - now) / 2);
+}
+
 asio::awaitable<void> SendLoop::Run()
 {
   for (;;) {
     // A named object, because GCC 12 destroys aggregate arguments of an awaited
     // call twice.
     TraitQuestion request = attempt_.MakeTraitQuestion();
-    TraitDecision prompt = co_await crashes_.AwaitTurn(
-      std::move(request),
-      std::min(attempt_.responseDeadline, Now().steady + kMaxTurnWait));
+    TraitDecision prompt =
+      co_await crashes_.AwaitTurn(std::move(request), TurnDeadline());
     if (prompt.step == TraitStep::Wait || prompt.step == TraitStep::Refuse) {
       co_await FinishWithTrait(prompt);
       co_return;
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -84,6 +84,8 @@
   boost::asio::awaitable<void> FinishWithTrait(const TraitDecision& aDecision);
   std::optional<ChosenReplica> Choose() const;
   BackendHeaders HeadersFor(const BackendRecord& aBackend) const;
+  /** Until when the attempt waits while others try its suspect traits. */
+  Instant TurnDeadline() const;
   /** Deadline for the header and the first event of a response. */
   Instant ResponseStartDeadline(const ChosenReplica& aChoice) const;
   /** Deadline for the next event of a stream. */
