--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -217,16 +217,16 @@
     return;
   }
   const auto& replicas = state_.registry.Usable(aService);
-  AdmitJobs(aService, queue->queue);
+  bool mustWait = AdmitJobs(aService, queue->queue);
   while (auto batch = queue->queue.Next(replicas, Now().steady)) {
     const auto send = Follow(aService, queue->queue, *batch);
     asio::co_spawn(
       state_.loop, RunBatch(aService, std::move(*batch), send), asio::detached);
-    AdmitJobs(aService, queue->queue);
+    mustWait = AdmitJobs(aService, queue->queue);
   }
   DeliverFinishedJobs(*queue);
   auto wakeAt = queue->queue.WakeAt();
-  if (crashes_.HasVerdicts() && queue->queue.WaitingPieces() > 0) {
+  if (mustWait) {
     const Instant next = Now().steady + kTurnPollInterval;
     wakeAt = std::min(wakeAt.value_or(next), next);
   }
@@ -332,8 +332,9 @@
   return urgency;
 }
 
-void PieceService::AdmitJobs(const std::string& aService, BatchQueue& aQueue)
+bool PieceService::AdmitJobs(const std::string& aService, BatchQueue& aQueue)
 {
+  bool mustWait = false;
   const bool hasVerdicts = crashes_.HasVerdicts();
   for (const PieceJobId& id : aQueue.WaitingJobs()) {
     if (!hasVerdicts) {
@@ -352,7 +353,9 @@
                  decision.step == TraitStep::Wait  ? PieceAdmission::Wait
                  : decision.step == TraitStep::Try ? PieceAdmission::Alone
                                                    : PieceAdmission::Shared);
+    mustWait = mustWait || decision.step == TraitStep::Wait;
   }
+  return mustWait;
 }
 
 CrashService::SendNumber PieceService::Follow(const std::string& aService,
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -98,8 +98,8 @@
   /** Priority of the most urgent job of a call. */
   std::uint32_t UrgencyOf(const std::string& aService, const Batch& aBatch);
   /** Keeps jobs that may crash servers apart from others, and fails those that
-   * do. */
-  void AdmitJobs(const std::string& aService, BatchQueue& aQueue);
+   * do; true if one has to wait for its turn. */
+  bool AdmitJobs(const std::string& aService, BatchQueue& aQueue);
   /** Has the crash detector follow a call; its jobs are what it may crash on.
    */
   CrashService::SendNumber Follow(const std::string& aService,
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -146,11 +146,12 @@
       co_return;
     }
   }
-  const TraitDecision prompt = crashes_.Decide(attempt.MakeTraitQuestion());
-  if (prompt.step == TraitStep::Refuse) {
-    attempt.refusedTrait = prompt.trait;
-    co_await Refuse(
-      attempt, ErrorKind::CrashingRequest, RetryAfterOf(prompt, Now().steady));
+  const TraitDecision decision = crashes_.Decide(attempt.MakeTraitQuestion());
+  if (decision.step == TraitStep::Refuse) {
+    attempt.refusedTrait = decision.trait;
+    co_await Refuse(attempt,
+                    ErrorKind::CrashingRequest,
+                    RetryAfterOf(decision, Now().steady));
     co_return;
   }
   EstimateReplica(attempt);
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -197,20 +197,21 @@
     // A named object, because GCC 12 destroys aggregate arguments of an awaited
     // call twice.
     TraitQuestion request = attempt_.MakeTraitQuestion();
-    TraitDecision prompt =
+    TraitDecision decision =
       co_await crashes_.AwaitTurn(std::move(request), TurnDeadline());
-    if (prompt.step == TraitStep::Wait || prompt.step == TraitStep::Refuse) {
-      co_await FinishWithTrait(prompt);
+    if (decision.step == TraitStep::Wait ||
+        decision.step == TraitStep::Refuse) {
+      co_await FinishWithTrait(decision);
       co_return;
     }
-    excludedVersions_ = std::move(prompt.excludedVersions);
+    excludedVersions_ = std::move(decision.excludedVersions);
     const auto choice = Choose();
     if (choice && state_.limits.Find(*choice->backend)) {
       const bool hasPlace =
         co_await limits_.Acquire(choice->backend, attempt_.priority);
-      // Another request may have begun to try the prompt meanwhile.
+      // Another request may have begun to try its traits meanwhile.
       const bool isNext =
-        crashes_.Decide(attempt_.MakeTraitQuestion()).step == prompt.step;
+        crashes_.Decide(attempt_.MakeTraitQuestion()).step == decision.step;
       if (!hasPlace || !isNext) {
         continue;
       }
@@ -244,7 +245,7 @@
         now);
     }
     sendNumber_ = crashes_.OnSent(
-      choice->backend, attempt_.traits, std::move(prompt.suspects));
+      choice->backend, attempt_.traits, std::move(decision.suspects));
     const SendResult result = co_await SendOnce(*choice);
     ReportEnd(result);
     state_.loads.OnEnded(
@@ -283,7 +284,7 @@
       co_await FinishWithFailure(step, *result.failure);
       co_return;
     }
-    // A retry may go where the prompt crashes another server.
+    // A retry may crash another server.
     co_await crashes_.Detector().AwaitProbe(choice->backend);
   }
 }
