--- a/tests/cell/cell_client.cpp
+++ b/tests/cell/cell_client.cpp
@@ -128,6 +128,7 @@
     response.status = parser.get().result_int();
     response.replicaSeal = std::string(parser.get()["Replica-Seal"]);
     response.retryAfter = std::string(parser.get()["Retry-After"]);
+    response.saysLeaving = parser.get()["Server-Leaving"] == "1";
     response.body = parser.get().body();
     response.isComplete = !error && parser.is_done();
     response.closesConnection = !parser.get().keep_alive();
--- a/tests/cell/cell_client.h
+++ b/tests/cell/cell_client.h
@@ -33,6 +33,7 @@
   std::string replicaSeal;
   std::string retryAfter;
   bool closesConnection = false;
+  bool saysLeaving = false; ///< Its server says that it leaves.
   Instant sentAt{};
   Instant endedAt{};
 };
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -110,6 +110,7 @@
 void CellReplica::Restart()
 {
   ++incarnation_;
+  isLeaving_ = false;
   results_.clear();
   PublishEntry("ready");
 }
@@ -191,6 +192,7 @@
   execution.attemptId = Header(aClient, "Attempt-Id");
   execution.replica = id_;
   execution.version = version_;
+  execution.incarnation = incarnation_;
   execution.customer = Header(aClient, "Tenant");
   execution.prompt = Header(aClient, "Prompt-Prefix");
   execution.body = aClient.GetRequest().body();
--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "drivers/clock.h"
 #include "tests/cell/crash_check.h"
+#include "tests/cell/leaving_check.h"
 #include "tests/cell/limit_check.h"
 #include "tests/cell/stream_check.h"
 #include "tests/support/wait.h"
@@ -39,6 +40,9 @@
 constexpr const char* kCrashingPart = "bad0";
 /** One of so many streams has the part. */
 constexpr std::uint64_t kStreamsPerCrashingPart = 5;
+constexpr const char* kCrashingPath = "/read/crash";
+/** One of so many plain requests that may be repeated crashes its server. */
+constexpr std::uint64_t kReadsPerCrashingRequest = 4;
 
 std::uint64_t ResidentMemoryKb(pid_t aProcess)
 {
@@ -61,6 +65,7 @@
   : random_(aSeed)
   , framingRandom_(aSeed)
   , hardshipRandom_(aSeed)
+  , incidentRandom_(aSeed)
   , cell_(aSize, aSeed)
   , faultDuration_(aFaultDuration)
 {
@@ -118,6 +123,12 @@
     soakRequest.request.prompt.insert(soakRequest.request.prompt.find(',') + 1,
                                       std::string(kCrashingPart) + ":20,");
   }
+  const bool isCrashing =
+    isRequestCrashing_ && soakRequest.request.path == "/read/x" &&
+    Checksum(soakRequest.request.attemptId) % kReadsPerCrashingRequest == 0;
+  if (isCrashing) {
+    soakRequest.request.path = kCrashingPath;
+  }
   soakRequest.request.apiKey = aRandom() % 2 == 0 ? "key-one" : "key-two";
   soakRequest.gateway = aRandom() % cell_.Gateways().size();
   soakRequest.disconnectsEarly = aRandom() % 25 == 0;
@@ -360,6 +371,49 @@
   }
 }
 
+void Soak::InjectIncident()
+{
+  switch (incidentRandom_() % 4) {
+    case 0:
+      RecordFault("crashing-request");
+      cell_.Run([&] {
+        for (auto& server : cell_.PlainServers()) {
+          CellCrash crash;
+          crash.downTime = milliseconds(800);
+          crash.request = kCrashingPath;
+          server->SetCrash(crash);
+        }
+      });
+      isRequestCrashing_ = true;
+      break;
+    case 1: {
+      RecordFault("server-leaving");
+      const auto servers = cell_.Replicas();
+      CellReplica* const server = servers[incidentRandom_() % servers.size()];
+      cell_.Run([&] { server->SetLeaving(true); });
+      break;
+    }
+    case 2: {
+      RecordFault("server-returns");
+      const auto servers = cell_.Replicas();
+      CellReplica* const server = servers[incidentRandom_() % servers.size()];
+      cell_.Run([&] { server->Restart(); });
+      break;
+    }
+    default:
+      break;
+  }
+}
+
+std::map<std::string, std::size_t> Soak::GatewaysOfAttempts() const
+{
+  std::map<std::string, std::size_t> gateways;
+  for (const SoakRequest& request : requests_) {
+    gateways[request.request.attemptId] = request.gateway;
+  }
+  return gateways;
+}
+
 bool Soak::IsInTouch(std::size_t aGateway, Instant aAt) const
 {
   const auto found = disturbedAt_.find(aGateway);
@@ -381,6 +435,7 @@
       std::this_thread::sleep_for(milliseconds(random_() % 150));
     }
     InjectHardship();
+    InjectIncident();
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
@@ -411,6 +466,8 @@
   std::ranges::for_each(clients, &std::thread::join);
   CheckCrashingPart();
   CheckLimits();
+  CheckCrashingRequest();
+  CheckLeaving();
   CheckRecovery();
   CheckRequests();
   CheckDrains();
@@ -422,10 +479,7 @@
 
 void Soak::CheckCrashingPart()
 {
-  std::map<std::string, std::size_t> gateways;
-  for (const SoakRequest& request : requests_) {
-    gateways[request.request.attemptId] = request.gateway;
-  }
+  auto gateways = GatewaysOfAttempts();
   const std::size_t late = cell_.Run([&] {
     std::vector<CellExecution> inTouch;
     std::ranges::copy_if(cell_.Executions(),
@@ -444,12 +498,92 @@
   }
 }
 
-void Soak::CheckLimits()
+void Soak::CheckCrashingRequest()
 {
-  std::map<std::string, std::size_t> gateways;
+  auto gateways = GatewaysOfAttempts();
+  // Each customer's request is one of its own.
+  for (const std::string customer :
+       { "customer-key-one", "customer-key-two" }) {
+    const std::size_t late = cell_.Run([&] {
+      std::vector<Instant> crashes;
+      std::set<std::pair<std::string, std::uint64_t>> ended;
+      std::vector<CellExecution> inTouch;
+      for (const CellExecution& execution : cell_.Executions()) {
+        const bool isCrashing =
+          execution.path == kCrashingPath && execution.customer == customer;
+        if (!isCrashing) {
+          continue;
+        }
+        if (ended.emplace(execution.replica, execution.incarnation).second) {
+          crashes.push_back(execution.at);
+        }
+        if (IsInTouch(gateways[execution.attemptId], execution.at)) {
+          inTouch.push_back(execution);
+        }
+      }
+      report_.requestCrashes += crashes.size();
+      std::ranges::sort(crashes);
+      return SendsAfterCrash(inTouch,
+                             crashes,
+                             kRequestCrashesUntilKnown,
+                             [](const CellExecution&) { return true; });
+    });
+    if (late > kMaxLateSends) {
+      report_.violations.push_back("a request that crashes servers was sent " +
+                                   std::to_string(late) + " times too late");
+    }
+  }
+}
+
+void Soak::CheckLeaving()
+{
+  std::map<std::string, const SoakRequest*> requests;
   for (const SoakRequest& request : requests_) {
-    gateways[request.request.attemptId] = request.gateway;
+    requests[request.request.attemptId] = &request;
   }
+  const auto wasDisturbed =
+    [&](std::size_t aGateway, Instant aFrom, Instant aTo) {
+      const auto found = disturbedAt_.find(aGateway);
+      return found != disturbedAt_.end() &&
+             std::ranges::any_of(found->second, [&](Instant aAt) {
+               return aFrom <= aAt && aAt <= aTo;
+             });
+    };
+  cell_.Run([&] {
+    LeavingCheck check;
+    for (const CellExecution& execution : cell_.Executions()) {
+      const auto found = requests.find(execution.attemptId);
+      const bool isTheirs = found != requests.end() &&
+                            found->second->response.saysLeaving &&
+                            found->second->response.replicaSeal.starts_with(
+                              execution.replica + ".");
+      if (isTheirs) {
+        check.OnPassedOn(
+          found->second->gateway, execution, found->second->response.endedAt);
+        ++report_.leavingWords;
+      }
+    }
+    for (const CellExecution& execution : cell_.Executions()) {
+      const auto found = requests.find(execution.attemptId);
+      if (found == requests.end()) {
+        continue;
+      }
+      const SoakRequest& request = *found->second;
+      const Instant passedOnAt = check.PassedOnAt(request.gateway, execution);
+      const bool isLate =
+        passedOnAt != Instant::max() &&
+        request.response.sentAt > passedOnAt + kLeavingDrain &&
+        !wasDisturbed(request.gateway, passedOnAt, execution.at);
+      if (isLate) {
+        RecordViolation("sent to a server that said it leaves", request);
+      }
+    }
+  });
+}
+
+void Soak::CheckLimits()
+{
+  const auto gateways = GatewaysOfAttempts();
   for (const NamedLimit& limit : limits_) {
     const std::size_t most = cell_.Run([&] {
       std::vector<CellArrival> inTouch;
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -39,6 +39,8 @@
   std::size_t resumes = 0;          ///< Streams that clients took up again.
   std::size_t continuedResumes = 0; ///< Of these, those that went on.
   std::size_t crashes = 0;          ///< Of servers, on a part of a prompt.
+  std::size_t requestCrashes = 0;   ///< Of servers, on a request as a whole.
+  std::size_t leavingWords = 0;     ///< Responses of servers that leave.
 };
 
 /**
@@ -74,6 +76,12 @@
   void CheckRecovery();
   /** Makes servers name limits, crash on a part, or respond without end. */
   void InjectHardship();
+  /** Makes servers crash on a request, or say that they leave. */
+  void InjectIncident();
+  void CheckCrashingRequest();
+  void CheckLeaving();
+  /** The gateway of each attempt. */
+  std::map<std::string, std::size_t> GatewaysOfAttempts() const;
   /** Whether a gateway ran undisturbed for the time in which gateways learn
    * from each other. */
   bool IsInTouch(std::size_t aGateway, Instant aAt) const;
@@ -85,6 +93,7 @@
   // older seeds stay as they were.
   std::mt19937_64 framingRandom_;
   std::mt19937_64 hardshipRandom_;
+  std::mt19937_64 incidentRandom_;
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
@@ -103,6 +112,7 @@
 
   std::vector<NamedLimit> limits_;
   std::atomic<bool> isPartCrashing_ = false;
+  std::atomic<bool> isRequestCrashing_ = false;
   std::map<std::size_t, std::vector<Instant>> disturbedAt_; ///< By gateway.
   Instant lastStoreFault_{};
   SoakReport report_;
