Wait for a probe only after a call that broke

Cause: a call for pieces that timed out waited for a probe of its server too, up to 0.7 s, before its pieces went elsewhere.

--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -36,7 +36,7 @@
   ResumeTarget resumeTarget; ///< Set from the first event or a resume on.
   std::uint32_t priority = 0;
   std::string requestName; ///< Equal for each attempt of the same request.
-  /** Parts of the prompt that other requests may share; never null. */
+  /** What it may have in common with others; never null. */
   std::shared_ptr<const RequestTraits> traits =
     std::make_shared<const RequestTraits>();
   std::string refusedTrait; ///< For which it was refused; may be empty.
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -402,8 +402,9 @@
     end = co_await CallReplica(aService, aBatch, results);
   }
   ReportEnd(aSend, end);
-  if (end == BatchEnd::Lost) {
-    // Its pieces may have crashed the server and would crash the next.
+  if (end == BatchEnd::Lost && Now().steady < aBatch.abandonAt) {
+    // Its pieces may have crashed the server and would crash the next. After a
+    // time-out, a probe would tell too late.
     co_await crashes_.Detector().AwaitProbe(aBatch.backend);
   }
   const Instant now = Now().steady;
