Count crashes of servers whose restart the registry has not listed

Callers saw a request crash servers again and again while the store was away, since each server counted once. Cause: a crash is known by the server and the start of its incarnation as listed. A server that returns under its id and address while the store is away has the same key as the incarnation that crashed. Change: a send that broke on a connection which was opened after the crash shows a restart; the crash is counted with the number of such restarts. Why it works: a connection can't be opened to a server that is down; one that was open before the crash still counts as the same crash, so that no crash counts twice. Its test now states when the connection was opened, and that a second report of one crash does not count.

--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <numeric>
 #include <optional>
+#include <tuple>
 
 namespace gypsum {
 
@@ -50,9 +51,26 @@
   return kNames[static_cast<std::size_t>(aState)];
 }
 
+std::uint32_t CrashEvidence::RestartsBefore(std::string_view aBackend,
+                                            std::uint64_t aStartedMs,
+                                            Instant aOpenedAt) const
+{
+  std::uint32_t restarts = 0;
+  for (const auto& [key, crash] : crashes_) {
+    const auto& [backend, startedMs, before] = key;
+    if (backend == aBackend && startedMs == aStartedMs &&
+        crash.at < aOpenedAt) {
+      restarts = std::max(restarts, before + 1);
+    }
+  }
+  return restarts;
+}
+
 bool CrashEvidence::AddCrash(const ServerCrash& aCrash, Instant aNow)
 {
-  const CrashKey key{ aCrash.backend, aCrash.startedMs };
+  const CrashKey key{ aCrash.backend,
+                      aCrash.startedMs,
+                      aCrash.unlistedRestarts };
   const auto found = crashes_.find(key);
   const bool isKnown = found != crashes_.end();
   if (aCrash.traits.empty()) {
@@ -295,9 +313,10 @@
 {
   CrashReport report;
   for (const auto& [key, crash] : crashes_) {
-    ServerCrash copy{
-      key.first, key.second, crash.version, aNow - crash.at, {}
-    };
+    ServerCrash copy;
+    std::tie(copy.backend, copy.startedMs, copy.unlistedRestarts) = key;
+    copy.version = crash.version;
+    copy.age = aNow - crash.at;
     for (const auto& [trait, position] : crash.positions) {
       copy.traits.push_back({ trait, position });
     }
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -42,6 +43,8 @@
   std::uint64_t startedMs = 0; ///< Identifies the incarnation.
   std::string version;         ///< Of its software.
   Duration age{};              ///< Time since the crash.
+  /** Restarts before the crash that the registry had not listed. */
+  std::uint32_t unlistedRestarts = 0;
   /** Traits of the requests to which it was about to respond. */
   std::vector<RequestTrait> traits;
 
@@ -119,6 +122,11 @@
   static constexpr std::size_t kMaxTraits = 4'096;
   static constexpr std::size_t kMaxSurvivals = 512;
 
+  /** Restarts since an incarnation was listed, as shown by a connection that
+   * was opened after a crash. */
+  std::uint32_t RestartsBefore(std::string_view aBackend,
+                               std::uint64_t aStartedMs,
+                               Instant aOpenedAt) const;
   /** Adds what is new and matters; false if nothing does. */
   bool Add(const CrashReport& aReport, Instant aNow);
   void Expire(Instant aNow);
@@ -136,7 +144,8 @@
   std::uint64_t Digest() const;
 
 private:
-  using CrashKey = std::pair<std::string, std::uint64_t>;
+  /** Backend server, start of its listed incarnation, unlisted restarts. */
+  using CrashKey = std::tuple<std::string, std::uint64_t, std::uint32_t>;
   using SurvivalKey = std::pair<std::uint64_t, std::uint64_t>;
 
   struct Crash
--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -93,6 +93,8 @@
   void Cancel();
   /** Returns the connection to the pool if it can be reused, else closes it. */
   void Finish(std::optional<Duration> aIdleTime, bool aMayReuse);
+  /** When its connection was opened; call after `Connect`. */
+  Instant OpenedAt() const { return connection_->openedAt; }
   /** Whether this is the first request on its connection. */
   bool IsFresh() const { return connection_ && connection_->uses == 0; }
 
--- a/drivers/edge/backend_pool.cpp
+++ b/drivers/edge/backend_pool.cpp
@@ -42,6 +42,7 @@
   connection->stream.expires_never();
   SetConnectionOptions(connection->stream.socket());
   ++opened_;
+  connection->openedAt = Now().steady;
   co_return connection;
 }
 
--- a/drivers/edge/backend_pool.h
+++ b/drivers/edge/backend_pool.h
@@ -28,6 +28,7 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   std::string address;
+  Instant openedAt{};
   std::uint64_t uses = 0;
   Instant idleSince{};
   Instant idleUntil{};
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -316,6 +316,7 @@
     crash.set_started_ms(from.startedMs);
     crash.set_software_version(from.version);
     crash.set_age_us(from.age.count());
+    crash.set_unlisted_restarts(from.unlistedRestarts);
     for (const RequestTrait& trait : from.traits) {
       proto::RequestTrait& copy = *crash.add_traits();
       copy.set_name(trait.name);
@@ -687,11 +688,9 @@
 {
   CrashReport report;
   for (const proto::ServerCrash& from : aFrom.crashes()) {
-    ServerCrash crash{ from.backend(),
-                       from.started_ms(),
-                       from.software_version(),
-                       ReadAge(from.age_us()),
-                       {} };
+    ServerCrash crash{ from.backend(),           from.started_ms(),
+                       from.software_version(),  ReadAge(from.age_us()),
+                       from.unlisted_restarts(), {} };
     for (const proto::RequestTrait& trait : from.traits()) {
       crash.traits.push_back({ trait.name(), trait.position() });
     }
--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -39,6 +39,14 @@
   send.traits = std::move(aTraits);
 }
 
+void CrashDetector::OnConnected(SendNumber aNumber, Instant aOpenedAt)
+{
+  const auto found = sends_.find(aNumber);
+  if (found != sends_.end()) {
+    found->second.openedAt = aOpenedAt;
+  }
+}
+
 void CrashDetector::OnEvents(SendNumber aNumber, bool aIsComplete)
 {
   const auto found = sends_.find(aNumber);
@@ -114,7 +122,10 @@
 void CrashDetector::ReportCrash(const BackendKey& aKey,
                                 std::string_view aEvidence)
 {
-  Crash crash{ { aKey.first, aKey.second, "", Duration{}, {} }, aEvidence, 0 };
+  Crash crash;
+  crash.crash.backend = aKey.first;
+  crash.crash.startedMs = aKey.second;
+  crash.evidence = aEvidence;
   const Instant now = Now().steady;
   std::vector<SendNumber> ended;
   for (const auto& [number, send] : sends_) {
@@ -126,6 +137,7 @@
     if (send.IsBroken()) {
       crash.crash.age =
         std::max(crash.crash.age, Duration(now - send.brokenAt));
+      crash.openedAt = std::max(crash.openedAt, send.openedAt);
       ended.push_back(number);
     }
     std::ranges::copy(*send.traits, std::back_inserter(crash.crash.traits));
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -37,7 +37,9 @@
   {
     ServerCrash crash;
     std::string_view evidence; ///< How it became known.
-    std::size_t requests = 0;  ///< That were about to get their first event.
+    std::size_t requests = 0;  ///< Without a settled response.
+    /** When the last connection was opened that broke with the server. */
+    Instant openedAt{};
   };
   using CrashHandler = std::function<void(const Crash&)>;
   using SurvivalHandler =
@@ -63,6 +65,8 @@
   void OnSent(SendNumber aNumber,
               BackendPtr aBackend,
               std::shared_ptr<const RequestTraits> aTraits);
+  /** The send has a connection, which was opened at a time. */
+  void OnConnected(SendNumber aNumber, Instant aOpenedAt);
   /** The response goes on; `aIsComplete` at its end. */
   void OnEvents(SendNumber aNumber, bool aIsComplete);
   /** The connection broke or the server fell silent; starts a probe. */
@@ -87,6 +91,7 @@
   {
     BackendPtr backend;
     std::shared_ptr<const RequestTraits> traits;
+    Instant openedAt{}; ///< Of its connection; zero without one.
     Instant firstEventAt{};
     Instant brokenAt{};                  ///< Zero while the send runs.
     Liveness liveness = Liveness::Alive; ///< After it broke.
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -170,7 +170,10 @@
 
 void CrashService::OnCrash(const CrashDetector::Crash& aCrash)
 {
-  const CrashReport report{ { aCrash.crash }, {} };
+  CrashReport report{ { aCrash.crash }, {} };
+  ServerCrash& crash = report.crashes.front();
+  crash.unlistedRestarts =
+    evidence_.RestartsBefore(crash.backend, crash.startedMs, aCrash.openedAt);
   if (!AddReport(report, "own")) {
     return;
   }
@@ -180,6 +183,7 @@
                    { { "backend", aCrash.crash.backend },
                      { "software", aCrash.crash.version },
                      { "evidence", aCrash.evidence },
+                     { "unlisted-restarts", crash.unlistedRestarts },
                      { "starting", aCrash.requests },
                      { "traits", NamesOf(aCrash.crash.traits) } });
   Broadcast(report);
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -270,6 +270,7 @@
 asio::awaitable<BatchEnd> PieceService::CallReplica(
   const std::string& aService,
   const Batch& aBatch,
+  CrashService::SendNumber aSend,
   std::vector<BatchItemResult>& aResults)
 {
   Queue* const queue = FindOrCreateQueue(aService);
@@ -291,6 +292,7 @@
   if (!state_.registry.IsUsable(*aBatch.backend)) {
     co_return BatchEnd::Rejected;
   }
+  crashes_.Detector().OnConnected(aSend, exchange.OpenedAt());
   exchange.Send(std::move(call));
   if (co_await exchange.ReadHead(aBatch.abandonAt) != ExchangeState::Ok) {
     co_return BatchEnd::Lost;
@@ -399,7 +401,7 @@
   std::vector<BatchItemResult> results;
   BatchEnd end = BatchEnd::HeldBack;
   if (co_await limits_.Acquire(aBatch.backend, UrgencyOf(aService, aBatch))) {
-    end = co_await CallReplica(aService, aBatch, results);
+    end = co_await CallReplica(aService, aBatch, aSend, results);
   }
   ReportEnd(aSend, end);
   if (end == BatchEnd::Lost && Now().steady < aBatch.abandonAt) {
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -114,6 +114,7 @@
   boost::asio::awaitable<BatchEnd> CallReplica(
     const std::string& aService,
     const Batch& aBatch,
+    CrashService::SendNumber aSend,
     std::vector<BatchItemResult>& aResults);
   boost::asio::awaitable<void> ReleaseLoop();
   boost::asio::awaitable<void> SendReleaseCall(
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -334,6 +334,7 @@
                           "draining-or-gone",
                           false };
   }
+  crashes_.Detector().OnConnected(sendNumber_, exchange.OpenedAt());
   exchange.Send(
     ToBackendRequest(attempt_.client->GetRequest(), HeadersFor(backend)));
   state_.log.Write(
--- a/tests/cell/test_crashing_request.cpp
+++ b/tests/cell/test_crashing_request.cpp
@@ -216,6 +216,27 @@
   CHECK(Crashes() <= before + cell.Gateways().size());
 }
 
+TEST_CASE_FIXTURE(CrashingRequestFixture,
+                  "[CrashingRequest] a request that crashes servers while the "
+                  "store is away reaches none after the third crash")
+{
+  SetCrash(cell.PlainServers(), GuiltyRequest(kGuiltyPath));
+  // Few servers, so that each crashes again under its former entry.
+  cell.Run([&] {
+    for (std::size_t index = 2; index < cell.PlainServers().size(); ++index) {
+      cell.PlainServers()[index]->Unregister();
+    }
+  });
+  std::this_thread::sleep_for(seconds(1));
+  cell.Run([&] { cell.Store().SetMode(StoreMode::Unavailable); });
+  StartGuilty(kGuiltyPath);
+  REQUIRE(WaitUntil([&] { return Crashes() >= kRequestCrashesUntilKnown; }));
+  std::this_thread::sleep_for(kGuiltyPartContact + seconds(4));
+  Stop();
+  CHECK(LateSends() <= kMaxLateSends);
+  CHECK(Crashes() <= 2 * kRequestCrashesUntilKnown);
+}
+
 TEST_CASE_FIXTURE(CrashingRequestFixture,
                   "[CrashingRequest] a request that crashed servers is refused "
                   "as not executed and named in the log")
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -144,7 +144,7 @@
 {
   const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
   const CrashReport report{
-    { { "i-1", 17, "v1", Duration(5'000), { { "aa", 0 }, { "bb", 2 } } } },
+    { { "i-1", 17, "v1", Duration(5'000), 3, { { "aa", 0 }, { "bb", 2 } } } },
     { { "aa", "v1", 7, 3, Duration(20) } }
   };
   const auto received = Decode(Encode({ header, report }));
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -23,7 +23,7 @@
                     Duration aAge = {})
   {
     ServerCrash crash{
-      "i-" + std::to_string(++lastNumber), 1, aVersion, aAge, {}
+      "i-" + std::to_string(++lastNumber), 1, aVersion, aAge, 0, {}
     };
     for (const std::string& trait : aTraits) {
       crash.traits.push_back(
@@ -388,11 +388,23 @@
                   "registry lists its restart counts again")
 {
   CrashReport report = Crash({ "bad" });
-  for (int crash = 0; crash < 3; ++crash) {
+  ServerCrash& crash = report.crashes.front();
+  const auto restartsAt = [&](Instant aOpenedAt) {
+    return evidence.RestartsBefore(crash.backend, crash.startedMs, aOpenedAt);
+  };
+  for (std::uint32_t round = 0; round < 3; ++round) {
     now += seconds(2);
-    evidence.Add(report, now);
+    crash.unlistedRestarts = restartsAt(now - milliseconds(20));
+    CHECK(crash.unlistedRestarts == round);
+    CHECK(evidence.Add(report, now));
+    // Another gateway saw the same crash on an older connection.
+    CHECK(restartsAt(now) == round);
+    CHECK_FALSE(evidence.Add(report, now + milliseconds(5)));
   }
   CHECK(State("bad") == TraitState::Refused);
+  CrashEvidence other;
+  other.Add(evidence.Report(now), now);
+  CHECK(other.Digest() == evidence.Digest());
 }
 
 } // namespace gypsum::tests
