Count no crash when a server leaves as announced

Callers of a slow sound request would have been refused for 10 minutes after three servers had left, one after the other, while it ran. Cause: with requests as traits, every broken connection to a server that then refuses connections was evidence, also where the store or the server itself had said that it leaves. Evidence: found while reading; the new test got 503 in place of 200. Change: a send that breaks at a server which is not usable any more by the registry says nothing of its request. Why it works: a server that crashes is usable until its entry expires, seconds later. Result: the test passes.

--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -78,6 +78,10 @@
     return;
   }
   Send& send = found->second;
+  if (handlers_.isLeaving(*send.backend)) {
+    OnEnded(aNumber);
+    return;
+  }
   send.brokenAt = Now().steady;
   auto& probe = probes_[KeyOf(*send.backend)];
   if (!probe) {
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -47,6 +47,8 @@
   /** A send has survived, has ended, or its server was probed. */
   using EndHandler = std::function<void(SendNumber)>;
   using ProbeHandler = std::function<void(Liveness)>;
+  /** Whether a server is about to leave as announced, or has left. */
+  using LeavingCheck = std::function<bool(const BackendRecord&)>;
 
   struct Handlers
   {
@@ -54,6 +56,7 @@
     SurvivalHandler onSurvival;
     EndHandler onEnd;
     ProbeHandler onProbe;
+    LeavingCheck isLeaving;
   };
 
   CrashDetector(boost::asio::io_context& aLoop, Handlers aHandlers)
@@ -69,7 +72,8 @@
   void OnConnected(SendNumber aNumber, Instant aOpenedAt);
   /** The response goes on; `aIsComplete` at its end. */
   void OnEvents(SendNumber aNumber, bool aIsComplete);
-  /** The connection broke or the server fell silent; starts a probe. */
+  /** The connection broke or the server fell silent; starts a probe, unless the
+   * server leaves: its end is none of the requests' doing. */
   void OnBroken(SendNumber aNumber);
   /** The send has ended and says nothing of the server. */
   void OnEnded(SendNumber aNumber);
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -64,6 +64,9 @@
            [this](Liveness aLiveness) {
              state_.metrics.Count(
                "liveness_probes", "result", NameOf(aLiveness));
+           },
+           [this](const BackendRecord& aBackend) {
+             return !state_.registry.IsUsable(aBackend);
            } };
 }
 
--- a/tests/cell/test_crashing_request.cpp
+++ b/tests/cell/test_crashing_request.cpp
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <memory>
@@ -312,4 +313,42 @@
   }
 }
 
+TEST_CASE_FIXTURE(CrashingRequestFixture,
+                  "[CrashingRequest] a request that was cut by servers which "
+                  "left as announced is served by the next one")
+{
+  const auto setHang = [&](double aChance) {
+    cell.Run([&] {
+      for (auto& server : cell.PlainServers()) {
+        server->Faults().hang = aChance;
+      }
+    });
+  };
+  setHang(1.0);
+  for (std::size_t round = 0; round < kRequestCrashesUntilKnown; ++round) {
+    const CellRequest request = Make("/once/rare");
+    CellResponse response;
+    std::thread client([&] { response = sound.Send(request, round); });
+    const bool hasBegun =
+      WaitUntil([&] { return !cell.ExecutionsOf(request.attemptId).empty(); });
+    if (hasBegun) {
+      const std::string server =
+        cell.ExecutionsOf(request.attemptId).front().replica;
+      const auto leaving =
+        std::ranges::find(cell.PlainServers(), server, [](const auto& aServer) {
+          return aServer->Id();
+        });
+      cell.Run([&] { (*leaving)->Drain(); });
+      std::this_thread::sleep_for(milliseconds(700));
+      cell.Run([&] { (*leaving)->Crash(seconds(60)); });
+    }
+    client.join();
+    CHECK(hasBegun);
+    CHECK(response.status == 502);
+  }
+  setHang(0.0);
+  CHECK(sound.Send(Make("/once/rare"), 0).status == 200);
+  CHECK_FALSE(IsAnyRefused());
+}
+
 } // namespace gypsum::tests
