Refuse requests whose pieces crash servers at their arrival

Callers of a staged request that crashes stage servers were told to come back after 0.1 s, the time of the queues, and ran into the same stage each time. Cause: the verdict was asked for the model service only, and the refusal of a failed stage took its Retry-After from the queues. Change: one decision over the service and those of the stages, at arrival and after a stage has failed; what refuses pieces is decided in one place.

--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -25,6 +25,16 @@
 
 } // namespace
 
+std::shared_ptr<const RequestTraits> TraitsOfRequest(
+  const std::string& aRequestName)
+{
+  RequestTraits traits;
+  if (!aRequestName.empty()) {
+    traits.push_back({ aRequestName, kWholeRequest });
+  }
+  return std::make_shared<const RequestTraits>(std::move(traits));
+}
+
 CrashDetector::BackendKey CrashDetector::KeyOf(const BackendRecord& aBackend)
 {
   return { aBackend.id, aBackend.startedMs };
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -21,6 +21,10 @@
 
 using RequestTraits = std::vector<RequestTrait>;
 
+/** Traits of a request whose prompt does not matter; none if it has no name. */
+std::shared_ptr<const RequestTraits> TraitsOfRequest(
+  const std::string& aRequestName);
+
 /**
  * Notices when backend servers crash or survive, and on which traits of
  * requests.
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -99,6 +99,20 @@
     *aRequest.traits, evidence_, trials_, VersionsFor(aRequest), Now().steady);
 }
 
+TraitDecision CrashService::DecidePieces(const std::string& aRequestName,
+                                         const std::string& aService) const
+{
+  TraitDecision decision =
+    Decide({ TraitsOfRequest(aRequestName), aService, std::nullopt });
+  if (!decision.excludedVersions.empty()) {
+    decision.step = TraitStep::Refuse;
+    decision.trait = aRequestName;
+    decision.refusedUntil =
+      evidence_.Verdicts().find(aRequestName)->second.refusedUntil;
+  }
+  return decision;
+}
+
 asio::awaitable<TraitDecision> CrashService::AwaitTurn(TraitQuestion aRequest,
                                                        Instant aDeadline)
 {
--- a/servers/gateway/crash_service.h
+++ b/servers/gateway/crash_service.h
@@ -45,6 +45,11 @@
   bool HasVerdicts() const { return !evidence_.Verdicts().empty(); }
   /** Decides at once, without waiting for other requests. */
   TraitDecision Decide(const TraitQuestion& aRequest) const;
+  /** Decides at once for the pieces of a request at a stage service. They are
+   * not placed by software version, so that one version is enough to refuse
+   * them. */
+  TraitDecision DecidePieces(const std::string& aRequestName,
+                             const std::string& aService) const;
   /** Decides, and waits while other requests try the suspect traits; returns
    * `Wait` if it still has to wait at the deadline. */
   boost::asio::awaitable<TraitDecision> AwaitTurn(TraitQuestion aRequest,
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -34,15 +34,6 @@
 constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
 constexpr unsigned kOk = 200;
 
-std::shared_ptr<const RequestTraits> TraitsOf(const std::string& aRequestName)
-{
-  RequestTraits traits;
-  if (!aRequestName.empty()) {
-    traits.push_back({ aRequestName, kWholeRequest });
-  }
-  return std::make_shared<const RequestTraits>(std::move(traits));
-}
-
 } // namespace
 
 PieceService::PieceService(GatewayState& aState,
@@ -344,10 +335,8 @@
       continue;
     }
     const TraitDecision decision =
-      crashes_.Decide({ TraitsOf(aQueue.Find(id)->request), aService, {} });
-    // Pieces are not placed by software version.
-    if (decision.step == TraitStep::Refuse ||
-        !decision.excludedVersions.empty()) {
+      crashes_.DecidePieces(aQueue.Find(id)->request, aService);
+    if (decision.step == TraitStep::Refuse) {
       aQueue.Fail(id);
       continue;
     }
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -146,12 +146,7 @@
       co_return;
     }
   }
-  const TraitDecision decision = crashes_.Decide(attempt.MakeTraitQuestion());
-  if (decision.step == TraitStep::Refuse) {
-    attempt.refusedTrait = decision.trait;
-    co_await Refuse(attempt,
-                    ErrorKind::CrashingRequest,
-                    RetryAfterOf(decision, Now().steady));
+  if (co_await RefuseIfCrashing(attempt)) {
     co_return;
   }
   EstimateReplica(attempt);
@@ -167,7 +162,9 @@
       aClient->StopWatching();
       const Duration retryAfter = RetryAfter(attempt);
       pieces_.Release(attempt.plan.TakeAll());
-      co_await Refuse(attempt, *kind, retryAfter);
+      if (!co_await RefuseIfCrashing(attempt)) {
+        co_await Refuse(attempt, *kind, retryAfter);
+      }
       co_return;
     }
   }
@@ -274,6 +271,34 @@
   co_return std::nullopt;
 }
 
+TraitDecision RequestHandler::DecideByCrashes(const Attempt& aAttempt) const
+{
+  TraitDecision decision = crashes_.Decide(aAttempt.MakeTraitQuestion());
+  const std::vector<RouteStage>& stages = aAttempt.route->stages;
+  for (std::uint32_t stage = 0; stage < stages.size(); ++stage) {
+    if (decision.step == TraitStep::Refuse) {
+      break;
+    }
+    if (aAttempt.plan.PiecesOf(stage) > 0) {
+      decision =
+        crashes_.DecidePieces(aAttempt.requestName, stages[stage].service);
+    }
+  }
+  return decision;
+}
+
+asio::awaitable<bool> RequestHandler::RefuseIfCrashing(Attempt& aAttempt)
+{
+  const TraitDecision decision = DecideByCrashes(aAttempt);
+  if (decision.step != TraitStep::Refuse) {
+    co_return false;
+  }
+  aAttempt.refusedTrait = decision.trait;
+  co_await Refuse(
+    aAttempt, ErrorKind::CrashingRequest, RetryAfterOf(decision, Now().steady));
+  co_return true;
+}
+
 void RequestHandler::EstimateReplica(Attempt& aAttempt) const
 {
   if (!aAttempt.service->engine || !aAttempt.plan.HasWork()) {
@@ -497,12 +522,6 @@
       } else {
         failure = end.failure == PieceFailure::Late ? ErrorKind::Overloaded
                                                     : ErrorKind::NoReplica;
-        const TraitDecision decision = crashes_.Decide(
-          { aAttempt.traits, aAttempt.plan.SpecOf(stage).service, {} });
-        if (decision.step == TraitStep::Refuse) {
-          failure = ErrorKind::CrashingRequest;
-          aAttempt.refusedTrait = decision.trait;
-        }
       }
     }
     pieces_.Release(aAttempt.plan.TakeReleasable());
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -35,6 +35,11 @@
    * the error if the stream can't go on there. */
   boost::asio::awaitable<std::optional<ErrorKind>> FindResumeTarget(
     Attempt& aAttempt);
+  /** The verdict on a request at its service and those of its stages; only
+   * `Refuse` is of use. */
+  TraitDecision DecideByCrashes(const Attempt& aAttempt) const;
+  /** Refuses a request that crashes servers; false if it does not. */
+  boost::asio::awaitable<bool> RefuseIfCrashing(Attempt& aAttempt);
   /** Estimates which model replica will serve the attempt, and when. */
   void EstimateReplica(Attempt& aAttempt) const;
   /** Returns the time for `Retry-After` if the stages would end too late. */
--- a/tests/cell/test_crashing_request.cpp
+++ b/tests/cell/test_crashing_request.cpp
@@ -199,6 +199,38 @@
   CHECK(sound.Served() * 20 >= sound.Sent() * 19);
 }
 
+TEST_CASE_FIXTURE(CrashingRequestFixture,
+                  "[CrashingRequest] a request whose pieces crashed servers is "
+                  "refused at its arrival and told when to come back")
+{
+  cell.Run([&] {
+    // A verdict on one software version leaves a try to other versions.
+    for (auto& replica : cell.ModelReplicas()) {
+      replica->SetVersion("v2");
+      replica->Register();
+    }
+  });
+  SetCrash(cell.StageServers(), GuiltyPiece());
+  StartGuilty("/staged/x");
+  REQUIRE(WaitUntil([&] { return Crashes() >= kRequestCrashesUntilKnown; }));
+  std::this_thread::sleep_for(kGuiltyPartContact);
+  Stop();
+  const CellRequest request = MakeGuilty("/staged/x");
+  const CellResponse response = guilty.Send(request, 1);
+  CHECK(response.status == 503);
+  REQUIRE_FALSE(response.retryAfter.empty());
+  CHECK(std::stod(response.retryAfter) >= 60.0);
+  const CellGateway& gateway = cell.Gateways()[1];
+  CHECK(WaitUntil([&] {
+    return ReadFile(gateway.logFile)
+             .find("event=request-refused id=" + request.attemptId +
+                   " outcome=crashing-request") != std::string::npos;
+  }));
+  CHECK(ReadFile(gateway.logFile)
+          .find("event=stage-ended id=" + request.attemptId) ==
+        std::string::npos);
+}
+
 TEST_CASE_FIXTURE(CrashingRequestFixture,
                   "[CrashingRequest] a request that crashes servers is known "
                   "to gateways that restart one by one")
