Draw no retry for calls that were held back from a leaving server

Cause: a call for pieces that was not sent, since its server had begun to leave, ended as rejected: it drew on the fleet's retry budget for each of its jobs. Change: it is held back, as where a limit has no place; its pieces go to the next call.

--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -105,7 +105,7 @@
   Rejected, ///< Not run, for instance because the replica was full.
   Unreachable,
   Lost,     ///< Sent, but no usable answer arrived.
-  HeldBack, ///< Not sent, since the limit of the replica had no place.
+  HeldBack, ///< Not sent: the replica leaves, or its limit had no place.
 };
 
 /**
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -281,7 +281,7 @@
     co_return BatchEnd::Unreachable;
   }
   if (!state_.registry.IsUsable(*aBatch.backend)) {
-    co_return BatchEnd::Rejected;
+    co_return BatchEnd::HeldBack;
   }
   crashes_.Detector().OnConnected(aSend, exchange.OpenedAt());
   exchange.Send(std::move(call));
