--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-std::string TraitName(std::string_view aId)
+std::string NameOfPart(std::string_view aId)
 {
   return aId.size() <= kMaxNameBytes ? std::string(aId)
                                      : "#" + std::to_string(Checksum(aId));
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -34,7 +34,7 @@
   std::numeric_limits<std::uint32_t>::max();
 
 /** Name of a part of a prompt, bounded in length; clients choose the ids. */
-std::string TraitName(std::string_view aId);
+std::string NameOfPart(std::string_view aId);
 
 /** The crash of one incarnation of a backend server. */
 struct ServerCrash
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
 /** Time between two requests for the reports of peers. */
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
 /** Gateways answer for a trait one after the other, on average this far apart,
@@ -79,24 +78,27 @@
 }
 
 std::vector<std::string> CrashService::VersionsFor(
-  const TraitQuestion& aRequest) const
+  const TraitQuestion& aQuestion) const
 {
   std::set<std::string> versions;
-  for (const BackendPtr& backend : state_.registry.Usable(aRequest.service)) {
-    if (!aRequest.version || backend->version == *aRequest.version) {
+  for (const BackendPtr& backend : state_.registry.Usable(aQuestion.service)) {
+    if (!aQuestion.version || backend->version == *aQuestion.version) {
       versions.insert(backend->version);
     }
   }
   return { versions.begin(), versions.end() };
 }
 
-TraitDecision CrashService::Decide(const TraitQuestion& aRequest) const
+TraitDecision CrashService::Decide(const TraitQuestion& aQuestion) const
 {
-  if (aRequest.traits->empty() || evidence_.Verdicts().empty()) {
+  if (aQuestion.traits->empty() || evidence_.Verdicts().empty()) {
     return {};
   }
-  return DecideByTraits(
-    *aRequest.traits, evidence_, trials_, VersionsFor(aRequest), Now().steady);
+  return DecideByTraits(*aQuestion.traits,
+                        evidence_,
+                        trials_,
+                        VersionsFor(aQuestion),
+                        Now().steady);
 }
 
 TraitDecision CrashService::DecidePieces(const std::string& aRequestName,
@@ -113,11 +115,11 @@
   return decision;
 }
 
-asio::awaitable<TraitDecision> CrashService::AwaitTurn(TraitQuestion aRequest,
+asio::awaitable<TraitDecision> CrashService::AwaitTurn(TraitQuestion aQuestion,
                                                        Instant aDeadline)
 {
   for (;;) {
-    TraitDecision decision = Decide(aRequest);
+    TraitDecision decision = Decide(aQuestion);
     const Instant now = Now().steady;
     if (decision.step != TraitStep::Wait || now >= aDeadline) {
       co_return decision;
--- a/servers/gateway/crash_service.h
+++ b/servers/gateway/crash_service.h
@@ -39,12 +39,15 @@
 public:
   using SendNumber = CrashDetector::SendNumber;
 
+  /** How often requests that wait for their turn are looked at. */
+  static constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
+
   CrashService(GatewayState& aState, PeerExchange& aPeers);
 
   /** Whether any trait is not sound. */
   bool HasVerdicts() const { return !evidence_.Verdicts().empty(); }
   /** Decides at once, without waiting for other requests. */
-  TraitDecision Decide(const TraitQuestion& aRequest) const;
+  TraitDecision Decide(const TraitQuestion& aQuestion) const;
   /** Decides at once for the pieces of a request at a stage service. They are
    * not placed by software version, so that one version is enough to refuse
    * them. */
@@ -52,7 +55,7 @@
                              const std::string& aService) const;
   /** Decides, and waits while other requests try the suspect traits; returns
    * `Wait` if it still has to wait at the deadline. */
-  boost::asio::awaitable<TraitDecision> AwaitTurn(TraitQuestion aRequest,
+  boost::asio::awaitable<TraitDecision> AwaitTurn(TraitQuestion aQuestion,
                                                   Instant aDeadline);
 
   /** A request is sent; `aSuspects` of its traits are tried. */
@@ -76,7 +79,7 @@
 
 private:
   CrashDetector::Handlers MakeHandlers();
-  std::vector<std::string> VersionsFor(const TraitQuestion& aRequest) const;
+  std::vector<std::string> VersionsFor(const TraitQuestion& aQuestion) const;
   void OnCrash(const CrashDetector::Crash& aCrash);
   void OnSurvival(const BackendRecord& aBackend, const RequestTraits& aTraits);
   /** Tells the fleet that a trial has ended, if the send is one. */
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -30,8 +30,6 @@
 /** Results that wait for a place in the limit of their server. */
 constexpr std::size_t kMaxHeldReleases = 4'096;
 constexpr std::size_t kMaxResponseBytes = 1'048'576;
-/** How often jobs that wait for their turn are looked at. */
-constexpr Duration kTurnPollInterval = std::chrono::milliseconds(20);
 constexpr unsigned kOk = 200;
 
 } // namespace
@@ -218,7 +216,7 @@
   DeliverFinishedJobs(*queue);
   auto wakeAt = queue->queue.WakeAt();
   if (mustWait) {
-    const Instant next = Now().steady + kTurnPollInterval;
+    const Instant next = Now().steady + CrashService::kTurnPollInterval;
     wakeAt = std::min(wakeAt.value_or(next), next);
   }
   if (wakeAt) {
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -70,7 +70,7 @@
 {
   RequestTraits traits;
   for (const PromptPart& part : aPrompt.SharedParts()) {
-    const std::string name = TraitName(part.id);
+    const std::string name = NameOfPart(part.id);
     if (std::ranges::find(traits, name, &RequestTrait::name) == traits.end()) {
       traits.push_back({ name, static_cast<std::uint32_t>(traits.size()) });
     }
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -196,9 +196,9 @@
   for (;;) {
     // A named object, because GCC 12 destroys aggregate arguments of an awaited
     // call twice.
-    TraitQuestion request = attempt_.MakeTraitQuestion();
+    TraitQuestion question = attempt_.MakeTraitQuestion();
     TraitDecision decision =
-      co_await crashes_.AwaitTurn(std::move(request), TurnDeadline());
+      co_await crashes_.AwaitTurn(std::move(question), TurnDeadline());
     if (decision.step == TraitStep::Wait ||
         decision.step == TraitStep::Refuse) {
       co_await FinishWithTrait(decision);
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -6,6 +6,7 @@
 #include "tests/cell/cell_store.h"
 #include "tests/support/child_process.h"
 
+#include <atomic>
 #include <cstdint>
 #include <filesystem>
 #include <memory>
@@ -124,7 +125,7 @@
   std::vector<std::unique_ptr<CellReplica>> plainServers_;
   std::vector<std::unique_ptr<CellReplica>> stageServers_;
   std::vector<CellGateway> gateways_;
-  std::uint64_t lastAttemptNumber_ = 0;
+  std::atomic<std::uint64_t> lastAttemptNumber_ = 0;
 };
 
 } // namespace gypsum::tests
--- a/tests/cell/cell_load.h
+++ b/tests/cell/cell_load.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tests/cell/cell.h"
+#include "tests/cell/stream_check.h"
 
 #include <algorithm>
 #include <atomic>
@@ -14,12 +15,30 @@
 
 namespace gypsum::tests {
 
+/** Whether a request got its whole response, and no other's. */
+inline bool IsServed(const CellRequest& aRequest, const CellResponse& aResponse)
+{
+  return aResponse.status == 200 && aResponse.isComplete &&
+         (aRequest.prompt.empty() ||
+          IsCompleteStream(aResponse.body, aRequest.attemptId));
+}
+
+/** A request of the kind that the route of a path is for. */
+inline CellRequest MakeRequest(Cell& aCell, const std::string& aPath)
+{
+  if (aPath.starts_with("/staged/")) {
+    return aCell.MakeStagedRequest();
+  }
+  return aPath.starts_with("/chat/") || aPath.starts_with("/long/")
+           ? aCell.MakeStreamRequest(aPath)
+           : aCell.MakePlainRequest(aPath);
+}
+
 /** Clients that send requests to all gateways of a cell until `Stop`. */
 class CellLoad
 {
 public:
   using Maker = std::function<CellRequest()>;
-  using Judge = std::function<bool(const CellRequest&, const CellResponse&)>;
 
   explicit CellLoad(Cell& aCell)
     : cell_(aCell)
@@ -29,19 +48,17 @@
   CellLoad(const CellLoad&) = delete;
   CellLoad& operator=(const CellLoad&) = delete;
 
-  /** One client for each gateway; `aIsServed` says which responses count. */
-  void Start(const Maker& aMake,
-             std::chrono::milliseconds aInterval,
-             const Judge& aIsServed)
+  /** Starts one client for each gateway. */
+  void Start(const Maker& aMake, std::chrono::milliseconds aInterval)
   {
     for (std::size_t gateway = 0; gateway < cell_.Gateways().size();
          ++gateway) {
-      clients_.emplace_back([this, gateway, aMake, aInterval, aIsServed] {
+      clients_.emplace_back([this, gateway, aMake, aInterval] {
         while (!isOver_) {
           const CellRequest request = Make(aMake);
           const CellResponse response = Send(request, gateway);
           ++sent_;
-          served_ += aIsServed(request, response) ? 1 : 0;
+          served_ += IsServed(request, response) ? 1 : 0;
           std::this_thread::sleep_for(aInterval);
         }
       });
--- a/tests/cell/test_crashing_request.cpp
+++ b/tests/cell/test_crashing_request.cpp
@@ -1,7 +1,6 @@
 #include "tests/cell/cell.h"
 #include "tests/cell/cell_load.h"
 #include "tests/cell/crash_check.h"
-#include "tests/cell/stream_check.h"
 #include "tests/support/read_file.h"
 #include "tests/support/wait.h"
 
@@ -59,43 +58,24 @@
     return crash;
   }
 
-  CellRequest Make(const std::string& aPath)
-  {
-    if (aPath.starts_with("/staged/")) {
-      return cell.MakeStagedRequest();
-    }
-    return aPath.starts_with("/chat/") || aPath.starts_with("/long/")
-             ? cell.MakeStreamRequest(aPath)
-             : cell.MakePlainRequest(aPath);
-  }
-
   CellRequest MakeGuilty(const std::string& aPath)
   {
-    CellRequest request = Make(aPath);
+    CellRequest request = MakeRequest(cell, aPath);
     request.body = kGuiltyBody;
     request.headers = { { "Piece-Key", kGuiltyKey } };
     return request;
   }
 
-  static bool IsServed(const CellRequest& aRequest,
-                       const CellResponse& aResponse)
-  {
-    return aResponse.status == 200 && aResponse.isComplete &&
-           (aRequest.prompt.empty() ||
-            IsCompleteStream(aResponse.body, aRequest.attemptId));
-  }
-
   /** The same request again and again, at all gateways. */
   void StartGuilty(const std::string& aPath)
   {
-    guilty.Start(
-      [this, aPath] { return MakeGuilty(aPath); }, kGuiltyInterval, IsServed);
+    guilty.Start([this, aPath] { return MakeGuilty(aPath); }, kGuiltyInterval);
   }
 
   void StartSound(const std::string& aPath)
   {
-    sound.Start(
-      [this, aPath] { return Make(aPath); }, kSoundInterval, IsServed);
+    sound.Start([this, aPath] { return MakeRequest(cell, aPath); },
+                kSoundInterval);
   }
 
   void Stop()
@@ -302,7 +282,7 @@
   SUBCASE("another body of the same customer is served")
   {
     SetCrash(cell.PlainServers(), {});
-    CHECK(guilty.Send(Make("/once/x"), 1).status == 200);
+    CHECK(guilty.Send(MakeRequest(cell, "/once/x"), 1).status == 200);
   }
 }
 
@@ -326,10 +306,9 @@
   }
   guilty.Start(
     [this, rarePath] {
-      return Make(rarePath + std::to_string(++rareNumber % 4));
+      return MakeRequest(cell, rarePath + std::to_string(++rareNumber % 4));
     },
-    kGuiltyInterval,
-    IsServed);
+    kGuiltyInterval);
   for (int round = 0; round < 25; ++round) {
     cell.Run([&] {
       (*crashing)[static_cast<std::size_t>(round) % 2]->Crash(
@@ -358,7 +337,7 @@
   };
   setHang(1.0);
   for (std::size_t round = 0; round < kRequestCrashesUntilKnown; ++round) {
-    const CellRequest request = Make("/once/rare");
+    const CellRequest request = MakeRequest(cell, "/once/rare");
     CellResponse response;
     std::thread client([&] { response = sound.Send(request, round); });
     const bool hasBegun =
@@ -379,7 +358,7 @@
     CHECK(response.status == 502);
   }
   setHang(0.0);
-  CHECK(sound.Send(Make("/once/rare"), 0).status == 200);
+  CHECK(sound.Send(MakeRequest(cell, "/once/rare"), 0).status == 200);
   CHECK_FALSE(IsAnyRefused());
 }
 
--- a/tests/cell/test_server_leaving.cpp
+++ b/tests/cell/test_server_leaving.cpp
@@ -1,7 +1,6 @@
 #include "drivers/clock.h"
 #include "tests/cell/cell.h"
 #include "tests/cell/cell_load.h"
-#include "tests/cell/stream_check.h"
 #include "tests/support/wait.h"
 
 #include <doctest/doctest.h>
@@ -32,27 +31,9 @@
 
   ServerLeavingFixture() { REQUIRE(cell.Start()); }
 
-  static bool IsServed(const CellRequest& aRequest,
-                       const CellResponse& aResponse)
-  {
-    return aResponse.status == 200 && aResponse.isComplete &&
-           (aRequest.prompt.empty() ||
-            IsCompleteStream(aResponse.body, aRequest.attemptId));
-  }
-
   void StartClients(const std::string& aPath)
   {
-    load.Start(
-      [this, aPath] {
-        if (aPath.starts_with("/staged/")) {
-          return cell.MakeStagedRequest();
-        }
-        return aPath.starts_with("/chat/") || aPath.starts_with("/long/")
-                 ? cell.MakeStreamRequest(aPath)
-                 : cell.MakePlainRequest(aPath);
-      },
-      kInterval,
-      IsServed);
+    load.Start([this, aPath] { return MakeRequest(cell, aPath); }, kInterval);
   }
 
   /** The first servers of a group say from now on that they leave. */
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -257,7 +257,7 @@
   }));
   evidence.Expire(now + CrashEvidence::kMemory * 3);
   CHECK(evidence.Report(now).crashes.empty());
-  CHECK(TraitName(std::string(10'000, 'a')).size() <= 64);
+  CHECK(NameOfPart(std::string(10'000, 'a')).size() <= 64);
   RecentSurvivals survivals;
   for (int trait = 0; trait < 10'000; ++trait) {
     survivals.Add(std::to_string(trait), now);
