Log each crash that counts for a trait

Cause: request-trait was written when a trait changed its state only, so that the log could not tell a crash that came too soon after another from one that was not known. Change: it is written at each crash that counts.

--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -220,7 +220,8 @@
   std::set<std::string> changed;
   for (const auto& [trait, verdict] : after) {
     const auto old = before.find(trait);
-    if (old == before.end() || old->second.state != verdict.state) {
+    if (old == before.end() || old->second.state != verdict.state ||
+        old->second.crashes < verdict.crashes) {
       changed.insert(trait);
     }
   }
