Log the rests that backend servers ask for

No line said that a response asked for rest, for how long and of which call, so that a gateway that does not know of rests looked like one that passes them over. The header is decoded once, in platform/; one class takes in what responses say of their servers, in place of three copies. request-sent says how long before the send its server was chosen.

--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -56,11 +56,12 @@
   , platformState_(state_)
   , peers_(state_, platformState_)
   , limits_(state_, peers_)
+  , observer_(state_, peers_, limits_)
   , crashes_(state_, peers_)
-  , pieces_(state_, peers_, limits_, crashes_)
+  , pieces_(state_, peers_, limits_, crashes_, observer_)
   , origins_(state_, peers_)
   , store_(state_, platformState_, [this] { return peers_.IsStoreReader(); })
-  , requests_(state_, peers_, pieces_, origins_, crashes_, limits_)
+  , requests_(state_, peers_, pieces_, origins_, crashes_, limits_, observer_)
   , reload_(std::move(aReload))
   , clientListener_(loop_,
                     aSettings.clientAddress,
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -56,6 +56,7 @@
   PlatformState platformState_;
   PeerExchange peers_;
   LimitService limits_;
+  ResponseObserver observer_;
   CrashService crashes_;
   PieceService pieces_;
   StreamOriginService origins_;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -37,11 +37,13 @@
 PieceService::PieceService(GatewayState& aState,
                            PeerExchange& aPeers,
                            LimitService& aLimits,
-                           CrashService& aCrashes)
+                           CrashService& aCrashes,
+                           ResponseObserver& aObserver)
   : state_(aState)
   , peers_(aPeers)
   , limits_(aLimits)
   , crashes_(aCrashes)
+  , observer_(aObserver)
 {
 }
 
@@ -288,10 +290,7 @@
   }
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
-  limits_.OnResponse(*aBatch.backend, head.limit);
-  if (head.isLeaving) {
-    peers_.OnLeavingResponse(*aBatch.backend);
-  }
+  observer_.OnResponse(*aBatch.backend, head, ResponseAge::Current, "pieces");
   const BodyPart body =
     co_await exchange.ReadRest(aBatch.abandonAt, kMaxResponseBytes);
   if (body.state != ExchangeState::Ok) {
@@ -563,10 +562,7 @@
   }
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
-  limits_.OnResponse(*aBackend, head.limit);
-  if (head.isLeaving) {
-    peers_.OnLeavingResponse(*aBackend);
-  }
+  observer_.OnResponse(*aBackend, head, ResponseAge::Current, "release");
   const BodyPart body = co_await exchange.ReadRest(deadline, kMaxResponseBytes);
   OnResultsReleased(aHandles);
   if (body.state == ExchangeState::Ok) {
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -8,6 +8,7 @@
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
+#include "servers/gateway/response_observer.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -35,7 +36,8 @@
   PieceService(GatewayState& aState,
                PeerExchange& aPeers,
                LimitService& aLimits,
-               CrashService& aCrashes);
+               CrashService& aCrashes,
+               ResponseObserver& aObserver);
 
   void Start();
   /** Computes the pieces of a job; returns their handles or the failure. */
@@ -127,6 +129,7 @@
   PeerExchange& peers_;
   LimitService& limits_;
   CrashService& crashes_;
+  ResponseObserver& observer_;
   std::map<std::string, std::unique_ptr<Queue>, std::less<>> queues_;
   std::map<std::uint64_t, std::shared_ptr<PendingJob>> pendingJobs_;
   std::map<PieceJobId, Requester> requesters_;
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -86,13 +86,15 @@
                                PieceService& aPieces,
                                StreamOriginService& aOrigins,
                                CrashService& aCrashes,
-                               LimitService& aLimits)
+                               LimitService& aLimits,
+                               ResponseObserver& aObserver)
   : state_(aState)
   , peers_(aPeers)
   , pieces_(aPieces)
   , origins_(aOrigins)
   , crashes_(aCrashes)
   , limits_(aLimits)
+  , observer_(aObserver)
 {
 }
 
@@ -168,7 +170,8 @@
       co_return;
     }
   }
-  SendLoop sends(state_, peers_, pieces_, origins_, crashes_, limits_, attempt);
+  SendLoop sends(
+    state_, peers_, pieces_, origins_, crashes_, limits_, observer_, attempt);
   co_await sends.Run();
   aClient->StopWatching();
   pieces_.Release(attempt.plan.TakeAll());
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -4,6 +4,7 @@
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
+#include "servers/gateway/response_observer.h"
 #include "servers/gateway/stream_origin_service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,7 +23,8 @@
                  PieceService& aPieces,
                  StreamOriginService& aOrigins,
                  CrashService& aCrashes,
-                 LimitService& aLimits);
+                 LimitService& aLimits,
+                 ResponseObserver& aObserver);
 
   /** Serves one client connection until it ends. */
   boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
@@ -74,6 +76,7 @@
   StreamOriginService& origins_;
   CrashService& crashes_;
   LimitService& limits_;
+  ResponseObserver& observer_;
 };
 
 } // namespace gypsum
--- /dev/null
+++ b/servers/gateway/response_observer.cpp
@@ -0,0 +1,37 @@
+#include "servers/gateway/response_observer.h"
+
+namespace gypsum {
+
+ResponseObserver::ResponseObserver(GatewayState& aState,
+                                   PeerExchange& aPeers,
+                                   LimitService& aLimits)
+  : state_(aState)
+  , peers_(aPeers)
+  , limits_(aLimits)
+{
+}
+
+void ResponseObserver::OnResponse(const BackendRecord& aBackend,
+                                  const BackendResponseHead& aHead,
+                                  ResponseAge aAge,
+                                  std::string_view aCall)
+{
+  if (aHead.isLeaving) {
+    peers_.OnLeavingResponse(aBackend);
+  }
+  // A late response may name a limit that a later one has changed.
+  if (aAge == ResponseAge::Current) {
+    limits_.OnResponse(aBackend, aHead.limit);
+  }
+  if (aHead.rest.kind != RestStatement::Kind::None) {
+    const bool isReadable = aHead.rest.kind == RestStatement::Kind::Rest;
+    state_.log.Write(LogClass::StateChange,
+                     "backend-rest",
+                     { { "backend", aBackend.id },
+                       { "call", aCall },
+                       { "readable", isReadable ? 1U : 0U },
+                       { "asked", aHead.rest.length } });
+  }
+}
+
+} // namespace gypsum
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -91,6 +91,7 @@
                    StreamOriginService& aOrigins,
                    CrashService& aCrashes,
                    LimitService& aLimits,
+                   ResponseObserver& aObserver,
                    Attempt& aAttempt)
   : state_(aState)
   , peers_(aPeers)
@@ -98,6 +99,7 @@
   , origins_(aOrigins)
   , crashes_(aCrashes)
   , limits_(aLimits)
+  , observer_(aObserver)
   , attempt_(aAttempt)
   , fetchTimer_(aState.loop)
 {
@@ -205,6 +207,7 @@
       co_return;
     }
     excludedVersions_ = std::move(decision.excludedVersions);
+    chosenAt_ = Now().steady;
     const auto choice = Choose();
     if (choice && state_.limits.Find(*choice->backend)) {
       const bool hasPlace =
@@ -350,6 +353,7 @@
       { "expected", aChoice.expected },
       { "running", static_cast<std::uint64_t>(aChoice.running) },
       { "waited", Now().steady - attempt_.arrivedAt },
+      { "chosen", Now().steady - chosenAt_ },
       { "unread", aChoice.uncachedTokens },
       { "cached", aChoice.cachedTokens },
       { "left", attempt_.responseDeadline - Now().steady } });
@@ -384,11 +388,13 @@
     }
     const BackendResponseHead head =
       DecodeBackendResponseHead(aExchange.GetHead());
-    if (head.isLeaving) {
-      peers_.OnLeavingResponse(*aChoice.backend);
-    }
     const bool isForThisAttempt =
       head.attempt.empty() || head.attempt == attempt_.parameters.id;
+    observer_.OnResponse(*aChoice.backend,
+                         head,
+                         isForThisAttempt ? ResponseAge::Current
+                                          : ResponseAge::Late,
+                         "request");
     if (!isForThisAttempt && skipped < kMaxSkippedResponses) {
       // A late second response to an earlier request; the one to this attempt
       // follows.
@@ -403,7 +409,6 @@
         SendFailure::Lost, SendOutcome::Failed, "other-attempt", true
       };
     }
-    limits_.OnResponse(*aChoice.backend, head.limit);
     if (head.isNotExecuted) {
       const BodyPart rest = co_await aExchange.ReadRest(
         attempt_.responseDeadline, kMaxSkippedBytes);
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -11,6 +11,7 @@
 #include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
+#include "servers/gateway/response_observer.h"
 #include "servers/gateway/stream_origin_service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,7 @@
            StreamOriginService& aOrigins,
            CrashService& aCrashes,
            LimitService& aLimits,
+           ResponseObserver& aObserver,
            Attempt& aAttempt);
 
   boost::asio::awaitable<void> Run();
@@ -108,6 +110,7 @@
   StreamOriginService& origins_;
   CrashService& crashes_;
   LimitService& limits_;
+  ResponseObserver& observer_;
   Attempt& attempt_;
   std::vector<std::string> triedReplicas_;
   std::vector<std::string> excludedVersions_;
@@ -118,6 +121,7 @@
   bool isFirstPartReported_ = false;
   EventSplitter splitter_;
   ResponseEnd responseEnd_;
+  Instant chosenAt_{}; ///< When the server of the send that runs was chosen.
   Instant sentAt_{};
   Instant lastEventAt_{};
   std::uint64_t eventsBeforeSend_ = 0; ///< Complete events of earlier sends.
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -361,4 +361,64 @@
   }
 }
 
+TEST_CASE("[BackendResponseHead] the rest that a 503 asks for is read as a "
+          "bounded time")
+{
+  using Kind = RestStatement::Kind;
+  const auto restOf = [](const std::vector<std::string>& aValues,
+                         unsigned aStatus = 503,
+                         bool aIsNotExecuted = true) {
+    HttpResponseHead head;
+    head.result(aStatus);
+    for (const std::string& value : aValues) {
+      head.insert("Retry-After", value);
+    }
+    if (aIsNotExecuted) {
+      head.insert("Not-Executed", "1");
+    }
+    return DecodeBackendResponseHead(head).rest;
+  };
+  const auto seconds = [](double aSeconds) {
+    return RestStatement{
+      Kind::Rest, Duration(static_cast<std::int64_t>(aSeconds * 1'000'000))
+    };
+  };
+  const RestStatement longest{ Kind::Rest, RestStatement::kMaxLength };
+  CHECK(restOf({ "3" }) == seconds(3));
+  CHECK(restOf({ " 0.25 " }) == seconds(0.25));
+  CHECK(restOf({ "3" }, 503, false) == seconds(3));
+  CHECK(restOf({ "1", "4" }) == seconds(4));
+  CHECK(restOf({ "4, 1" }) == seconds(4));
+  CHECK(restOf({ "soon", "2" }) == seconds(2));
+  CHECK(restOf({ "1e9" }) == longest);
+  CHECK(restOf({ "inf" }) == longest);
+  CHECK(restOf({ std::string(400, '9') }).kind != Kind::None);
+  for (const char* const value :
+       { "", "-1", "soon", "nan", "3s", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+    CAPTURE(value);
+    CHECK(restOf({ value }).kind == Kind::Unreadable);
+  }
+  CHECK(restOf({}) == RestStatement{});
+  CHECK(restOf({ "0" }) == RestStatement{});
+  CHECK(restOf({ "3" }, 200) == RestStatement{});
+  CHECK(restOf({ "3" }, 429) == RestStatement{});
+}
+
+TEST_CASE("[BackendResponseHead] random values of any length ask for a rest of "
+          "bounded length")
+{
+  std::mt19937_64 random(32);
+  for (int round = 0; round < 20'000; ++round) {
+    std::string value(random() % 24, '\0');
+    std::ranges::generate(
+      value, [&] { return "0123456789.,-+eEnaif \xff"[random() % 24]; });
+    HttpResponseHead head;
+    head.result(503);
+    head.insert("Retry-After", value);
+    const RestStatement rest = DecodeBackendResponseHead(head).rest;
+    CHECK(rest.length >= Duration{});
+    CHECK(rest.length <= RestStatement::kMaxLength);
+  }
+}
+
 } // namespace gypsum::tests
