--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -3,6 +3,7 @@
 #include "tests/cell/cell_client.h"
 #include "tests/cell/cell_loop.h"
 #include "tests/cell/cell_replica.h"
+#include "tests/cell/cell_senders.h"
 #include "tests/cell/cell_store.h"
 #include "tests/support/child_process.h"
 
@@ -92,6 +93,7 @@
   }
   /** All executions so far; call on the loop. */
   const std::vector<CellExecution>& Executions() const { return executions_; }
+  CellSenders& Senders() { return senders_; }
   std::vector<CellReplica*> Replicas();
   std::filesystem::path Folder() const { return folder_; }
 
@@ -120,6 +122,7 @@
   std::filesystem::path folder_;
   CellLoop loop_;
   std::vector<CellExecution> executions_;
+  CellSenders senders_;
   std::unique_ptr<CellStore> store_;
   std::vector<std::unique_ptr<CellReplica>> modelReplicas_;
   std::vector<std::unique_ptr<CellReplica>> plainServers_;
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -45,6 +45,7 @@
 CellReplica::CellReplica(CellLoop& aLoop,
                          CellStore& aStore,
                          std::vector<CellExecution>& aExecutions,
+                         const CellSenders& aSenders,
                          Kind aKind,
                          std::string aId,
                          std::string aService,
@@ -53,6 +54,7 @@
   : loop_(aLoop.Context())
   , store_(aStore)
   , executions_(aExecutions)
+  , senders_(aSenders)
   , kind_(aKind)
   , id_(std::move(aId))
   , service_(std::move(aService))
@@ -185,6 +187,39 @@
   return response;
 }
 
+bool CellReplica::IsTurnedAway()
+{
+  if (!rest_) {
+    return false;
+  }
+  const CellArrival& arrival = arrivals_.back();
+  const bool isAsked =
+    std::ranges::any_of(rests_, [&](const CellAskedRest& aRest) {
+      return aRest.gateway == arrival.gateway &&
+             aRest.incarnation == incarnation_ &&
+             arrival.at < aRest.at + aRest.length;
+    });
+  if (isAsked) {
+    return rest_->turnsAway;
+  }
+  if (!DrawFault(rest_->chance)) {
+    return false;
+  }
+  rests_.push_back(
+    { arrival.gateway, incarnation_, Now().steady, rest_->length });
+  return true;
+}
+
+EdgeResponse CellReplica::RestResponse() const
+{
+  EdgeResponse response = NotExecutedResponse(503);
+  if (!rest_->isNotExecuted) {
+    response.fields.erase("Not-Executed");
+  }
+  response.fields.set("Retry-After", rest_->text);
+  return response;
+}
+
 void CellReplica::RecordExecution(const ClientConnection& aClient)
 {
   const auto target = aClient.GetRequest().target();
@@ -213,10 +248,18 @@
 {
   const ClientLimits limits;
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
-    arrivals_.push_back({ Header(*aClient, "Attempt-Id"), Now().steady });
+    const std::string attemptId = Header(*aClient, "Attempt-Id");
+    arrivals_.push_back(
+      { attemptId, Now().steady, senders_.GatewayOf(attemptId), incarnation_ });
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
+    const std::string expected = Header(*aClient, "Expect-Replica");
+    const bool isMisdirected = !expected.empty() && expected != id_;
+    if (!isMisdirected && IsTurnedAway()) {
+      co_await aClient->WriteResponse(RestResponse());
+      continue;
+    }
     const auto target = aClient->GetRequest().target();
     if (target == "/gypsumstream/stage-free") {
       const json::value body = json::parse(aClient->GetRequest().body());
@@ -228,8 +271,7 @@
       co_await aClient->WriteResponse(std::move(empty));
       continue;
     }
-    const std::string expected = Header(*aClient, "Expect-Replica");
-    if (!expected.empty() && expected != id_) {
+    if (isMisdirected) {
       co_await aClient->WriteResponse(NotExecutedResponse(421));
       continue;
     }
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -3,6 +3,7 @@
 #include "drivers/edge/edge_listener.h"
 #include "tests/cell/cell_loop.h"
 #include "tests/cell/cell_response_writer.h"
+#include "tests/cell/cell_senders.h"
 #include "tests/cell/cell_store.h"
 
 #include <boost/json/value.hpp>
@@ -42,6 +43,28 @@
 {
   std::string attemptId; ///< Empty for calls about pieces.
   Instant at{};
+  std::size_t gateway = CellSenders::kQueueOwner;
+  std::uint64_t incarnation = 0; ///< Of the server.
+};
+
+/** How a server turns gateways away and asks them for rest. */
+struct CellRest
+{
+  std::string text = "2"; ///< Value of the header.
+  std::chrono::milliseconds length{ 2'000 };
+  /** Of a request from a gateway that is not asked to rest already. */
+  double chance = 1.0;
+  bool isNotExecuted = true; ///< Whether the response says so.
+  bool turnsAway = false;    ///< Also what arrives in a rest.
+};
+
+/** A rest that a server has asked of one gateway. */
+struct CellAskedRest
+{
+  std::size_t gateway = 0;
+  std::uint64_t incarnation = 0; ///< Of the server.
+  Instant at{};
+  Duration length{};
 };
 
 /** What ends a replica which begins to respond to it. */
@@ -89,6 +112,7 @@
   CellReplica(CellLoop& aLoop,
               CellStore& aStore,
               std::vector<CellExecution>& aExecutions,
+              const CellSenders& aSenders,
               Kind aKind,
               std::string aId,
               std::string aService,
@@ -118,6 +142,9 @@
   /** Says in all later responses of this incarnation that it leaves; the store
    * is not told. */
   void SetLeaving(bool aIsLeaving) { isLeaving_ = aIsLeaving; }
+  /** Asks gateways for rest from now on; empty: none. */
+  void SetRest(std::optional<CellRest> aRest) { rest_ = std::move(aRest); }
+  const std::vector<CellAskedRest>& Rests() const { return rests_; }
   /** Requests of any kind that have arrived. */
   const std::vector<CellArrival>& Arrivals() const { return arrivals_; }
   /** Times of all crashes so far. */
@@ -143,6 +170,10 @@
                               std::string aBody) const;
   EdgeResponse NotExecutedResponse(unsigned aStatus) const;
   bool DrawFault(double aChance);
+  /** Whether the last arrival is turned away, for a rest that begins now or
+   * has begun before. */
+  bool IsTurnedAway();
+  EdgeResponse RestResponse() const;
   /** Writes a response with the framing and the cut of the faults. */
   boost::asio::awaitable<bool> WriteFramed(ClientConnection& aClient,
                                            const EdgeResponse& aResponse);
@@ -157,6 +188,7 @@
   boost::asio::io_context& loop_;
   CellStore& store_;
   std::vector<CellExecution>& executions_;
+  const CellSenders& senders_;
   Kind kind_;
   std::string id_;
   std::string service_;
@@ -173,6 +205,8 @@
   CellCrash crash_;
   std::optional<std::string> limit_;
   bool isLeaving_ = false;
+  std::optional<CellRest> rest_;
+  std::vector<CellAskedRest> rests_;
   std::vector<CellArrival> arrivals_;
   std::vector<Instant> crashes_;
   bool isDown_ = false;
