--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -42,6 +42,7 @@
   CrashingRequest,
   SuspectRequest,
   ServerLimit,
+  ServersResting,
   RecordsFull,
   DeadlineExceeded,
   OwnerUnreachable,
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -110,6 +110,11 @@
   BackendPtr FindByAddress(std::string_view aAddress) const;
   /** Whether this incarnation of a backend server accepts new requests. */
   bool IsUsable(const BackendRecord& aBackend) const;
+  /** Whether this incarnation is listed, leaving or not. */
+  bool IsListed(const BackendRecord& aBackend) const
+  {
+    return IsListed({ aBackend.id, aBackend.startedMs });
+  }
 
   std::uint64_t Revision() const { return revision_; }
   /** All entries with their revisions, to send to a peer. */
--- a/core/gateway/backend_rests.h
+++ b/core/gateway/backend_rests.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include "core/gateway/backend_registry.h"
 #include "core/time.h"
 
 #include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
 
 namespace gypsum {
 
@@ -26,4 +31,45 @@
   bool operator==(const RestStatement&) const = default;
 };
 
+/**
+ * The rests that backend servers have asked of this gateway.
+ *
+ * A rest belongs to one incarnation and one gateway: peers don't hear of it,
+ * since a server that turns one gateway away may have room for the others. The
+ * latest end counts; neither a shorter rest, nor another response, nor the
+ * store takes it back.
+ *
+ * A server that has restarted under its id may respond before the registry
+ * lists its new incarnation. A rest therefore also binds a later incarnation
+ * that had started when it was asked for.
+ */
+class BackendRests
+{
+public:
+  /** Length of a rest whose length can't be read. */
+  static constexpr Duration kUnreadableLength = std::chrono::seconds(1);
+  /** Most that the wall clocks of servers and gateways differ. */
+  static constexpr std::chrono::milliseconds kClockTolerance{ 500 };
+
+  /** True if the rest now lasts longer than was known. */
+  bool OnStatement(const BackendRecord& aBackend,
+                   const RestStatement& aStatement,
+                   const ClockReading& aNow);
+  /** End of the rest; a time that has passed if there is none. */
+  Instant RestsUntil(const BackendRecord& aBackend) const;
+  bool IsEmpty() const { return rests_.empty(); }
+  void Expire(Instant aNow);
+
+private:
+  using Incarnation = std::pair<std::string, std::uint64_t>;
+
+  struct Rest
+  {
+    Instant until{};
+    std::uint64_t askedMs = 0; ///< Unix time, with the tolerance of clocks.
+  };
+
+  std::map<Incarnation, Rest> rests_; ///< By the incarnation that was listed.
+};
+
 } // namespace gypsum
--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -215,11 +215,12 @@
   return std::exchange(ended_, {});
 }
 
-void BatchQueue::FailLateJobs(Instant aNow)
+void BatchQueue::FailLateJobs(Instant aNextStart)
 {
   std::vector<PieceJobId> late;
   for (const auto& [id, state] : jobs_) {
-    if (!state.waiting.empty() && state.job.deadline < aNow + CallTimeOf(1)) {
+    if (!state.waiting.empty() &&
+        state.job.deadline < aNextStart + CallTimeOf(1)) {
       late.push_back(id);
     }
   }
@@ -368,11 +369,19 @@
 
 std::vector<BatchQueue::Candidate> BatchQueue::FindCandidates(
   std::span<const BackendPtr> aReplicas,
+  const SendPermissions* aPermissions,
   Instant aNow)
 {
   std::vector<Candidate> candidates;
   for (const BackendPtr& backend : aReplicas) {
     ReplicaState& replica = replicas_[backend->id];
+    const SendPermission permission =
+      aPermissions ? aPermissions->AskUsable(*backend, LimitPlace::Open, aNow)
+                   : SendPermission{};
+    if (!permission.IsGranted()) {
+      WakeBy(permission.until);
+      continue;
+    }
     if (aNow < replica.blockedUntil) {
       WakeBy(replica.blockedUntil);
       continue;
@@ -449,12 +458,17 @@
 }
 
 std::optional<Batch> BatchQueue::Next(std::span<const BackendPtr> aReplicas,
-                                      Instant aNow)
+                                      Instant aNow,
+                                      const SendPermissions* aPermissions)
 {
   wakeAt_.reset();
   ExpireResults(aNow);
-  FailLateJobs(aNow);
-  const std::vector<Candidate> candidates = FindCandidates(aReplicas, aNow);
+  FailLateJobs(aPermissions
+                 ? AvailabilityOf(aReplicas, std::nullopt, *aPermissions, aNow)
+                     .EarliestSend(aNow)
+                 : aNow);
+  const std::vector<Candidate> candidates =
+    FindCandidates(aReplicas, aPermissions, aNow);
   const std::vector<JobState*> ordered = OrderedJobs(candidates, aNow);
   if (ordered.empty()) {
     return std::nullopt;
@@ -608,12 +622,6 @@
   Requeue(aBatch, true);
 }
 
-void BatchQueue::Block(std::string_view aReplica, Instant aUntil)
-{
-  ReplicaState& replica = replicas_[std::string(aReplica)];
-  replica.blockedUntil = std::max(replica.blockedUntil, aUntil);
-}
-
 std::size_t BatchQueue::WaitingPieces() const
 {
   return std::accumulate(jobs_.begin(),
@@ -641,12 +649,15 @@
 }
 
 Duration BatchQueue::ExpectedWait(std::uint32_t aPriority,
-                                  std::size_t aReplicas,
+                                  const ServiceAvailability& aReplicas,
                                   Instant aNow) const
 {
-  if (aReplicas == 0) {
+  if (aReplicas.open + aReplicas.held == 0) {
     return kNoReplicaWait;
   }
+  // Replicas that are held are no capacity until the first of them opens.
+  const Duration closedTime = aReplicas.EarliestSend(aNow) - aNow;
+  const std::size_t replicas = std::max<std::size_t>(1, aReplicas.open);
   Duration busyTime{};
   std::size_t busyReplicas = 0;
   for (const auto& [id, replica] : replicas_) {
@@ -664,14 +675,14 @@
       return aSum +
              (state.job.priority <= aPriority ? state.waiting.size() : 0);
     });
-  if (piecesAhead == 0 && busyReplicas < aReplicas) {
-    return Duration{};
+  if (piecesAhead == 0 && busyReplicas < replicas) {
+    return closedTime;
   }
   const std::size_t fullCalls = piecesAhead / std::max(1U, spec_.maxPieces);
   const Duration work = busyTime + CallTimeOf(spec_.maxPieces) *
                                      static_cast<std::int64_t>(fullCalls);
-  return std::max(work, MemoryTime(aPriority)) /
-         static_cast<std::int64_t>(aReplicas);
+  return closedTime + std::max(work, MemoryTime(aPriority)) /
+                        static_cast<std::int64_t>(replicas);
 }
 
 } // namespace gypsum
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/gateway/backend_registry.h"
+#include "core/gateway/send_permissions.h"
 #include "core/gateway/served_configuration.h"
+#include "core/gateway/service_availability.h"
 #include "core/gateway/stage_schedule.h"
 
 #include <compare>
@@ -105,7 +107,7 @@
   Rejected, ///< Not run, for instance because the replica was full.
   Unreachable,
   Lost,     ///< Sent, but no usable answer arrived.
-  HeldBack, ///< Not sent: the replica leaves, or its limit had no place.
+  HeldBack, ///< Not sent: the replica may not get a call now.
 };
 
 /**
@@ -127,16 +129,16 @@
   void Add(PieceJob aJob);
   void Cancel(PieceJobId aId);
 
-  /** The next call that can start now, if any. */
+  /** The next call that can start now, if any. A replica that may not get a
+   * call now gets none; with null, each may. */
   std::optional<Batch> Next(std::span<const BackendPtr> aReplicas,
-                            Instant aNow);
+                            Instant aNow,
+                            const SendPermissions* aPermissions = nullptr);
   /** A call has ended; `aResults` follow the order of its items. */
   void OnEnd(const Batch& aBatch,
              BatchEnd aEnd,
              std::span<const BatchItemResult> aResults,
              Instant aNow);
-  /** Starts no call at a replica until a time. */
-  void Block(std::string_view aReplica, Instant aUntil);
   /** Jobs with pieces that are not in a call. */
   std::vector<PieceJobId> WaitingJobs() const;
   /** Holds for the calls that start from now on. */
@@ -152,7 +154,7 @@
 
   /** Expected wait of a new job of a priority until its call starts. */
   Duration ExpectedWait(std::uint32_t aPriority,
-                        std::size_t aReplicas,
+                        const ServiceAvailability& aReplicas,
                         Instant aNow) const;
   /** When to call `Next` again even if no event occurs; empty: not needed. */
   std::optional<Instant> WakeAt() const { return wakeAt_; }
@@ -198,7 +200,8 @@
 
   Duration CallTimeOf(std::size_t aPieces) const;
   double LatencyRatioOf(const ReplicaState& aReplica, Instant aNow) const;
-  void FailLateJobs(Instant aNow);
+  /** Fails the jobs that miss their deadlines if the next call starts then. */
+  void FailLateJobs(Instant aNextStart);
   /** A replica that a job could go to, and when it would finish one piece. */
   struct Candidate
   {
@@ -208,6 +211,7 @@
     bool isFree = false;
   };
   std::vector<Candidate> FindCandidates(std::span<const BackendPtr> aReplicas,
+                                        const SendPermissions* aPermissions,
                                         Instant aNow);
   StageCapacity CapacityOf(std::span<const Candidate> aCandidates) const;
   /** Orders the waiting jobs; fails those that the work before them makes
--- a/core/gateway/replica_choice.cpp
+++ b/core/gateway/replica_choice.cpp
@@ -124,9 +124,11 @@
     const bool hasExcludedVersion =
       std::ranges::find(aCriteria.excludedVersions, candidate->version) !=
       aCriteria.excludedVersions.end();
-    const bool isBlocked = aCriteria.limitBlocks &&
-                           aCriteria.limitBlocks->IsBlocked(*candidate, aNow);
-    if (isExcluded || hasExcludedVersion || isBlocked ||
+    const bool isHeld =
+      aCriteria.permissions &&
+      !aCriteria.permissions->AskUsable(*candidate, LimitPlace::Open, aNow)
+         .IsGranted();
+    if (isExcluded || hasExcludedVersion || isHeld ||
         (aCriteria.version && candidate->version != *aCriteria.version)) {
       continue;
     }
--- a/core/gateway/replica_choice.h
+++ b/core/gateway/replica_choice.h
@@ -2,8 +2,8 @@
 
 #include "core/gateway/backend_loads.h"
 #include "core/gateway/backend_registry.h"
-#include "core/gateway/limit_blocks.h"
 #include "core/gateway/prefix_cache_index.h"
+#include "core/gateway/send_permissions.h"
 
 #include <cstdint>
 #include <optional>
@@ -50,7 +50,7 @@
   /** The only software version to choose from; empty for any. */
   std::optional<std::string_view> version;
   std::span<const std::string> excludedVersions;
-  const LimitBlocks* limitBlocks = nullptr; ///< Null: no server is blocked.
+  const SendPermissions* permissions = nullptr; ///< Null: any may be chosen.
 };
 
 /** The chosen backend server and the figures behind the choice. */
--- a/core/gateway/retry_policy.cpp
+++ b/core/gateway/retry_policy.cpp
@@ -16,7 +16,7 @@
 bool HasCertainlyNotRun(SendFailure aFailure)
 {
   return aFailure == SendFailure::NotConnected ||
-         aFailure == SendFailure::Rejected;
+         aFailure == SendFailure::HeldBack || aFailure == SendFailure::Rejected;
 }
 
 /** The step to take when the request is not sent again. */
@@ -55,8 +55,8 @@
 
 std::string_view NameOf(SendFailure aFailure)
 {
-  constexpr std::array<std::string_view, 5> kNames{
-    "not-connected", "rejected", "lost", "failed", "interrupted"
+  constexpr std::array<std::string_view, 6> kNames{
+    "not-connected", "rejected", "lost", "failed", "interrupted", "held-back"
   };
   return kNames[static_cast<std::size_t>(aFailure)];
 }
--- a/core/gateway/retry_policy.h
+++ b/core/gateway/retry_policy.h
@@ -15,6 +15,7 @@
   Lost,         ///< Sent, but no usable answer: it may have run.
   Failed,       ///< The backend server ran it and answered with a failure.
   Interrupted,  ///< The stream broke off after complete events.
+  HeldBack,     ///< Not sent: its server may not get a request now.
 };
 
 /** What the gateway does after a failed send. */
--- /dev/null
+++ b/core/gateway/send_permissions.cpp
@@ -0,0 +1,68 @@
+#include "core/gateway/send_permissions.h"
+
+#include <cstddef>
+
+namespace gypsum {
+
+std::string_view NameOf(HoldReason aReason)
+{
+  constexpr std::array<std::string_view, kHoldReasons.size()> kNames{
+    "none", "not-listed", "leaving", "resting", "limit-reached"
+  };
+  return kNames[static_cast<std::size_t>(aReason)];
+}
+
+std::string_view NameOf(SendPath aPath)
+{
+  constexpr std::array<std::string_view, kSendPaths.size()> kNames{ "request",
+                                                                    "pieces",
+                                                                    "release" };
+  return kNames[static_cast<std::size_t>(aPath)];
+}
+
+SendPermissions::SendPermissions(const BackendRegistry& aRegistry,
+                                 const BackendLimits& aLimits,
+                                 const LimitBlocks& aBlocks,
+                                 const BackendRests& aRests)
+  : registry_(aRegistry)
+  , limits_(aLimits)
+  , blocks_(aBlocks)
+  , rests_(aRests)
+{
+}
+
+SendPermission SendPermissions::Ask(const BackendRecord& aBackend,
+                                    LimitPlace aPlace,
+                                    Instant aNow) const
+{
+  if (!registry_.IsUsable(aBackend)) {
+    return { registry_.IsListed(aBackend) ? HoldReason::Leaving
+                                          : HoldReason::NotListed,
+             Instant{} };
+  }
+  return AskUsable(aBackend, aPlace, aNow);
+}
+
+SendPermission SendPermissions::AskUsable(const BackendRecord& aBackend,
+                                          LimitPlace aPlace,
+                                          Instant aNow) const
+{
+  const Instant restsUntil = rests_.RestsUntil(aBackend);
+  if (aNow < restsUntil) {
+    return { HoldReason::Resting, restsUntil };
+  }
+  if (aPlace == LimitPlace::Taken) {
+    return {};
+  }
+  const Instant blockedUntil = blocks_.BlockedUntil(aBackend);
+  if (aNow < blockedUntil) {
+    return { HoldReason::LimitReached, blockedUntil };
+  }
+  // A limit that was named meanwhile has places, but none was taken.
+  const bool lacksPlace =
+    aPlace != LimitPlace::Open && limits_.Find(aBackend).has_value();
+  return lacksPlace ? SendPermission{ HoldReason::LimitReached, aNow }
+                    : SendPermission{};
+}
+
+} // namespace gypsum
--- /dev/null
+++ b/core/gateway/send_permissions.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "core/gateway/backend_limits.h"
+#include "core/gateway/backend_registry.h"
+#include "core/gateway/backend_rests.h"
+#include "core/gateway/limit_blocks.h"
+#include "core/time.h"
+
+#include <array>
+#include <string_view>
+
+namespace gypsum {
+
+/** Why a backend server may not get a request from this gateway. */
+enum class HoldReason
+{
+  None,
+  NotListed,    ///< The registry does not list this incarnation.
+  Leaving,      ///< It leaves, by the store's word or its own.
+  Resting,      ///< It has asked this gateway for rest.
+  LimitReached, ///< Its limit has no place for this gateway.
+};
+
+inline constexpr std::array kHoldReasons{ HoldReason::None,
+                                          HoldReason::NotListed,
+                                          HoldReason::Leaving,
+                                          HoldReason::Resting,
+                                          HoldReason::LimitReached };
+
+std::string_view NameOf(HoldReason aReason);
+
+/** Kinds of requests that gateways send to backend servers. */
+enum class SendPath
+{
+  Request, ///< First sends, retries, resumes and trials.
+  Pieces,
+  Release, ///< Of results.
+};
+
+inline constexpr std::array kSendPaths{ SendPath::Request,
+                                        SendPath::Pieces,
+                                        SendPath::Release };
+
+std::string_view NameOf(SendPath aPath);
+
+/** The place of a request in the limit that its server may have named. */
+enum class LimitPlace
+{
+  Open,      ///< Not asked for yet.
+  NotNeeded, ///< The server had no limit when it was asked for.
+  Taken,
+  Refused, ///< There is none now.
+};
+
+/** Whether a server may get a request; if not, why and until when. */
+struct SendPermission
+{
+  HoldReason hold = HoldReason::None;
+  Instant until{}; ///< Set if the hold ends by itself.
+
+  bool IsGranted() const { return hold == HoldReason::None; }
+  bool EndsByItself() const
+  {
+    return hold == HoldReason::Resting || hold == HoldReason::LimitReached;
+  }
+
+  bool operator==(const SendPermission&) const = default;
+};
+
+/**
+ * Answers whether this gateway may send to an incarnation of a backend server.
+ *
+ * Each path asks when it chooses a server, and again right before the first
+ * byte of the request, since what it waits for meanwhile (a turn, a place in a
+ * limit, a connection) takes time. A new condition is added here, and thereby
+ * for all paths.
+ */
+class SendPermissions
+{
+public:
+  /** The arguments must outlive this object. */
+  SendPermissions(const BackendRegistry& aRegistry,
+                  const BackendLimits& aLimits,
+                  const LimitBlocks& aBlocks,
+                  const BackendRests& aRests);
+
+  SendPermission Ask(const BackendRecord& aBackend,
+                     LimitPlace aPlace,
+                     Instant aNow) const;
+  /** The same for a server that `BackendRegistry::Usable` has just returned,
+   * to choose from many at little cost. */
+  SendPermission AskUsable(const BackendRecord& aBackend,
+                           LimitPlace aPlace,
+                           Instant aNow) const;
+
+private:
+  const BackendRegistry& registry_;
+  const BackendLimits& limits_;
+  const LimitBlocks& blocks_;
+  const BackendRests& rests_;
+};
+
+} // namespace gypsum
--- a/drivers/edge/client_connection.cpp
+++ b/drivers/edge/client_connection.cpp
@@ -70,6 +70,8 @@
   : stream_(std::move(aSocket))
 {
   SetConnectionOptions(stream_.socket());
+  boost::system::error_code hasLeft;
+  remoteEndpoint_ = stream_.socket().remote_endpoint(hasLeft);
 }
 
 asio::awaitable<RequestReadResult> ClientConnection::ReadRequest(
--- a/drivers/edge/client_connection.h
+++ b/drivers/edge/client_connection.h
@@ -53,6 +53,11 @@
   boost::asio::awaitable<RequestReadResult> ReadRequest(
     const ClientLimits& aLimits);
   const Request& GetRequest() const { return request_; }
+  /** Address of the client; empty if it left before it was accepted. */
+  const boost::asio::ip::tcp::endpoint& RemoteEndpoint() const
+  {
+    return remoteEndpoint_;
+  }
 
   /** Writes a complete response; false if the client has disconnected. */
   boost::asio::awaitable<bool> WriteResponse(EdgeResponse aResponse);
@@ -89,6 +94,7 @@
   void SetFraming(boost::beast::http::fields& aFields) const;
 
   boost::beast::tcp_stream stream_;
+  boost::asio::ip::tcp::endpoint remoteEndpoint_;
   boost::beast::flat_buffer buffer_;
   Request request_;
   std::function<void()> onDisconnect_;
--- a/servers/gateway/attempt.cpp
+++ b/servers/gateway/attempt.cpp
@@ -13,6 +13,18 @@
 
 } // namespace
 
+ErrorKind ErrorKindOf(HoldReason aReason)
+{
+  switch (aReason) {
+    case HoldReason::Resting:
+      return ErrorKind::ServersResting;
+    case HoldReason::LimitReached:
+      return ErrorKind::ServerLimit;
+    default:
+      return ErrorKind::NoReplica;
+  }
+}
+
 Duration RetryAfterOf(const TraitDecision& aDecision, Instant aNow)
 {
   return std::clamp(Duration(aDecision.refusedUntil - aNow),
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -3,6 +3,7 @@
 #include "core/error_kind.h"
 #include "core/gateway/resume_policy.h"
 #include "core/gateway/route_table.h"
+#include "core/gateway/send_permissions.h"
 #include "core/gateway/stage_plan.h"
 #include "core/time.h"
 #include "drivers/edge/client_connection.h"
@@ -72,6 +73,9 @@
  */
 EdgeResponse FailureResponse(ErrorKind aKind, Duration aRetryAfter);
 
+/** Error of a request that is refused because all servers are held. */
+ErrorKind ErrorKindOf(HoldReason aReason);
+
 /** `Retry-After` of a request with a trait that crashes servers. */
 Duration RetryAfterOf(const TraitDecision& aDecision, Instant aNow);
 
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -42,6 +42,24 @@
   return response;
 }
 
+/** Why a backend server gets no requests now; empty if it may. */
+std::string DescribeHold(const SendPermission& aPermission, Instant aNow)
+{
+  if (aPermission.IsGranted()) {
+    return "";
+  }
+  std::string text = ", held: " + std::string(NameOf(aPermission.hold));
+  if (aPermission.EndsByItself()) {
+    text +=
+      " for " +
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                       aPermission.until - aNow)
+                       .count()) +
+      " ms";
+  }
+  return text;
+}
+
 ProcessId MakeProcessId(const GatewaySettings& aSettings)
 {
   return { aSettings.name, DrawIncarnation() };
@@ -236,14 +254,16 @@
       continue;
     }
     const LoadEstimate load = state_.loads.Estimate(entry.id, now);
-    text += "backend " + entry.id + ": service " + entry.record->service +
-            ", software " + entry.record->version + ", zone " +
-            entry.record->zone +
-            (entry.record->isDraining ? ", draining" : "") + ", running " +
-            std::to_string(load.running) + ", slowness " +
-            std::to_string(load.latencyRatio) + ", failures " +
-            std::to_string(load.failures) +
-            (load.isSuspect ? ", suspect" : "") + "\n";
+    text +=
+      "backend " + entry.id + ": service " + entry.record->service +
+      ", software " + entry.record->version + ", zone " + entry.record->zone +
+      (entry.record->isDraining ? ", draining" : "") + ", running " +
+      std::to_string(load.running) + ", slowness " +
+      std::to_string(load.latencyRatio) + ", failures " +
+      std::to_string(load.failures) + (load.isSuspect ? ", suspect" : "") +
+      DescribeHold(state_.permissions.Ask(*entry.record, LimitPlace::Open, now),
+                   now) +
+      "\n";
   }
   return text + crashes_.StateText() + limits_.StateText();
 }
@@ -282,6 +302,7 @@
     origins_.RemoveExpired();
     crashes_.Expire();
     limits_.Expire();
+    state_.rests.Expire(now);
     state_.pool.CloseExpired(now);
     state_.log.Flush();
     if (round % kRoundsPerSettingsCheck == 0) {
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -3,10 +3,13 @@
 #include "core/gateway/backend_limits.h"
 #include "core/gateway/backend_loads.h"
 #include "core/gateway/backend_registry.h"
+#include "core/gateway/backend_rests.h"
 #include "core/gateway/gateway_retry_budget.h"
 #include "core/gateway/gateway_settings.h"
+#include "core/gateway/limit_blocks.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/route_table.h"
+#include "core/gateway/send_permissions.h"
 #include "core/gateway/service_versions.h"
 #include "core/identity.h"
 #include "drivers/edge/backend_pool.h"
@@ -16,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <optional>
+#include <random>
 #include <string>
 
 namespace gypsum {
@@ -36,7 +40,15 @@
   {
   }
 
+  GatewayState(const GatewayState&) = delete;
+  GatewayState& operator=(const GatewayState&) = delete;
+
   bool IsStopping() const { return stopAt.has_value(); }
+  /** A random number from 0 to 1. */
+  double DrawFraction()
+  {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random);
+  }
 
   boost::asio::io_context& loop;
   GatewaySettings settings;
@@ -48,10 +60,14 @@
   ServiceVersions versions;
   BackendLoads loads;
   BackendLimits limits;
+  LimitBlocks limitBlocks;
+  BackendRests rests;
+  SendPermissions permissions{ registry, limits, limitBlocks, rests };
   PrefixCacheIndex prefixes;
   GatewayRetryBudget retryBudget;
   BackendPool pool;
   GatewayMetrics metrics;
+  std::minstd_rand random{ static_cast<std::uint_fast32_t>(self.incarnation) };
   Instant lastStoreResponseAt{}; ///< Last successful response of the store.
   std::optional<Instant>
     stopAt; ///< End of the grace period; empty unless stopping.
--- a/servers/gateway/limit_service.cpp
+++ b/servers/gateway/limit_service.cpp
@@ -25,7 +25,6 @@
 /** A server that changes its limit with each response does not fill the
  * network; status messages carry what is not told at once. */
 constexpr Duration kMinTellInterval = std::chrono::milliseconds(200);
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
 
 LimitAllotment::Key KeyOf(const BackendRecord& aBackend)
 {
@@ -110,14 +109,14 @@
   co_return question->grant.value_or(LimitGrant{ false, kSilentRetryAfter });
 }
 
-asio::awaitable<bool> LimitService::Acquire(BackendPtr aBackend,
-                                            std::uint32_t aPriority)
+asio::awaitable<LimitPlace> LimitService::Acquire(BackendPtr aBackend,
+                                                  std::uint32_t aPriority)
 {
   if (!state_.limits.Find(*aBackend)) {
-    co_return true;
+    co_return LimitPlace::NotNeeded;
   }
-  if (blocks_.IsBlocked(*aBackend, Now().steady)) {
-    co_return false;
+  if (state_.limitBlocks.IsBlocked(*aBackend, Now().steady)) {
+    co_return LimitPlace::Refused;
   }
   const std::string allotter = AllotterOf(aBackend->id);
   LimitGrant grant;
@@ -132,26 +131,9 @@
     // Half of the spread lies below the time that was named.
     const Duration wait(static_cast<std::int64_t>(
       static_cast<double>(grant.retryAfter.count()) * 0.7 * Spread()));
-    blocks_.Block(*aBackend, Now().steady + wait);
+    state_.limitBlocks.Block(*aBackend, Now().steady + wait);
   }
-  co_return grant.isGranted;
-}
-
-std::optional<Duration> LimitService::RetryAfter(std::string_view aService)
-{
-  const Instant now = Now().steady;
-  const std::vector<BackendPtr>& usable = state_.registry.Usable(aService);
-  const auto first =
-    std::ranges::min_element(usable, {}, [&](const BackendPtr& aBackend) {
-      return blocks_.BlockedUntil(*aBackend);
-    });
-  if (first == usable.end() || !blocks_.IsBlocked(**first, now)) {
-    return std::nullopt;
-  }
-  const Duration wait =
-    std::max(kMinRetryAfter, Duration(blocks_.BlockedUntil(**first) - now));
-  return Duration(
-    static_cast<std::int64_t>(static_cast<double>(wait.count()) * Spread()));
+  co_return grant.isGranted ? LimitPlace::Taken : LimitPlace::Refused;
 }
 
 bool LimitService::OnPeerMessage(const Route& aRoute,
@@ -210,7 +192,7 @@
 {
   const Instant now = Now().steady;
   allotment_.Expire(now);
-  blocks_.Expire(now);
+  state_.limitBlocks.Expire(now);
   std::erase_if(toldAt_, [&](const auto& aItem) {
     return now - aItem.second >= kMinTellInterval;
   });
--- a/servers/gateway/limit_service.h
+++ b/servers/gateway/limit_service.h
@@ -2,7 +2,7 @@
 
 #include "core/gateway/backend_limits.h"
 #include "core/gateway/limit_allotment.h"
-#include "core/gateway/limit_blocks.h"
+#include "core/gateway/send_permissions.h"
 #include "core/messages.h"
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/peer_exchange.h"
@@ -39,13 +39,9 @@
   void OnResponse(const BackendRecord& aBackend,
                   const LimitStatement& aStatement);
   /** Takes a place in the limit of a server, if it has one, for a request that
-   * is sent next. False: there is none, and the server is blocked. */
-  boost::asio::awaitable<bool> Acquire(BackendPtr aBackend,
-                                       std::uint32_t aPriority);
-  const LimitBlocks& Blocks() const { return blocks_; }
-  /** When to come back if no server of the service may get a request now; empty
-   * if one may. Spread at random. */
-  std::optional<Duration> RetryAfter(std::string_view aService);
+   * is sent next. If there is none, the server is blocked. */
+  boost::asio::awaitable<LimitPlace> Acquire(BackendPtr aBackend,
+                                             std::uint32_t aPriority);
   /** Returns false if the message is not about limits. */
   bool OnPeerMessage(const Route& aRoute,
                      const PeerHeader& aHeader,
@@ -84,7 +80,6 @@
   GatewayState& state_;
   PeerExchange& peers_;
   LimitAllotment allotment_;
-  LimitBlocks blocks_;
   std::map<std::uint64_t, std::shared_ptr<Question>> questions_;
   std::uint64_t lastQuestion_ = 0;
   /** Last time at which all peers were told of a server's limit. */
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -4,6 +4,7 @@
 #include "drivers/edge/backend_exchange.h"
 #include "platform/backend_response_head.h"
 #include "platform/piece_calls.h"
+#include "servers/gateway/send_gate.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -87,16 +88,26 @@
     return Duration{};
   }
   return found->second->queue.ExpectedWait(
-    priority, state_.registry.Usable(aService).size(), Now().steady);
+    priority, AvailabilityOfServers(aService), Now().steady);
+}
+
+ServiceAvailability PieceService::AvailabilityOfServers(
+  std::string_view aService) const
+{
+  return AvailabilityOf(state_.registry.Usable(aService),
+                        std::nullopt,
+                        state_.permissions,
+                        Now().steady);
 }
 
 std::vector<ServiceWait> PieceService::LocalQueueWaits() const
 {
   std::vector<ServiceWait> waits;
   for (const auto& [service, queue] : queues_) {
+    const ServiceAvailability servers = AvailabilityOfServers(service);
     for (std::uint32_t priority = 0; priority < kPriorityClasses; ++priority) {
-      const Duration wait = queue->queue.ExpectedWait(
-        priority, state_.registry.Usable(service).size(), Now().steady);
+      const Duration wait =
+        queue->queue.ExpectedWait(priority, servers, Now().steady);
       if (wait.count() > 0) {
         waits.push_back({ service, priority, wait });
       }
@@ -209,7 +220,8 @@
   }
   const auto& replicas = state_.registry.Usable(aService);
   bool mustWait = AdmitJobs(aService, queue->queue);
-  while (auto batch = queue->queue.Next(replicas, Now().steady)) {
+  while (auto batch =
+           queue->queue.Next(replicas, Now().steady, &state_.permissions)) {
     const auto send = Follow(aService, queue->queue, *batch);
     asio::co_spawn(
       state_.loop, RunBatch(aService, std::move(*batch), send), asio::detached);
@@ -262,6 +274,7 @@
   const std::string& aService,
   const Batch& aBatch,
   CrashService::SendNumber aSend,
+  LimitPlace aPlace,
   std::vector<BatchItemResult>& aResults)
 {
   Queue* const queue = FindOrCreateQueue(aService);
@@ -280,17 +293,23 @@
       ExchangeState::Ok) {
     co_return BatchEnd::Unreachable;
   }
-  if (!state_.registry.IsUsable(*aBatch.backend)) {
+  const SendPermission permission = SendIfGranted(state_,
+                                                  exchange,
+                                                  *aBatch.backend,
+                                                  SendPath::Pieces,
+                                                  aPlace,
+                                                  std::move(call));
+  if (!permission.IsGranted()) {
     co_return BatchEnd::HeldBack;
   }
   crashes_.Detector().OnConnected(aSend, exchange.OpenedAt());
-  exchange.Send(std::move(call));
   if (co_await exchange.ReadHead(aBatch.abandonAt) != ExchangeState::Ok) {
     co_return BatchEnd::Lost;
   }
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
-  observer_.OnResponse(*aBatch.backend, head, ResponseAge::Current, "pieces");
+  observer_.OnResponse(
+    *aBatch.backend, head, ResponseAge::Current, SendPath::Pieces);
   const BodyPart body =
     co_await exchange.ReadRest(aBatch.abandonAt, kMaxResponseBytes);
   if (body.state != ExchangeState::Ok) {
@@ -386,8 +405,10 @@
   const Instant begin = Now().steady;
   std::vector<BatchItemResult> results;
   BatchEnd end = BatchEnd::HeldBack;
-  if (co_await limits_.Acquire(aBatch.backend, UrgencyOf(aService, aBatch))) {
-    end = co_await CallReplica(aService, aBatch, aSend, results);
+  const LimitPlace place =
+    co_await limits_.Acquire(aBatch.backend, UrgencyOf(aService, aBatch));
+  if (place != LimitPlace::Refused) {
+    end = co_await CallReplica(aService, aBatch, aSend, place, results);
   }
   ReportEnd(aSend, end);
   if (end == BatchEnd::Lost && Now().steady < aBatch.abandonAt) {
@@ -421,8 +442,6 @@
     }
   }
   queue->queue.OnEnd(aBatch, end, results, now);
-  queue->queue.Block(aBatch.backend->id,
-                     limits_.Blocks().BlockedUntil(*aBatch.backend));
   StartBatches(aService);
 }
 
@@ -515,18 +534,34 @@
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
     for (auto& [address, handles] : std::exchange(resultsToRelease_, {})) {
+      BackendPtr backend = state_.registry.FindByAddress(address);
+      if (!backend) {
+        continue;
+      }
+      const SendPermission permission =
+        state_.permissions.Ask(*backend, LimitPlace::Open, Now().steady);
       // The results of a backend server that leaves expire with it, and nothing
       // else needs their room.
-      BackendPtr backend = state_.registry.FindByAddress(address);
-      if (backend && state_.registry.IsUsable(*backend)) {
+      if (permission.IsGranted()) {
         asio::co_spawn(state_.loop,
                        SendReleaseCall(std::move(backend), std::move(handles)),
                        asio::detached);
+      } else if (permission.EndsByItself()) {
+        KeepForLater(address, std::move(handles));
       }
     }
   }
 }
 
+void PieceService::KeepForLater(const std::string& aAddress,
+                                std::vector<std::string> aHandles)
+{
+  std::vector<std::string>& kept = resultsToRelease_[aAddress];
+  if (kept.size() < kMaxHeldReleases) {
+    std::ranges::move(aHandles, std::back_inserter(kept));
+  }
+}
+
 void PieceService::OnResultsReleased(std::span<const std::string> aHandles)
 {
   for (auto& [service, queue] : queues_) {
@@ -542,27 +577,37 @@
   std::vector<std::string> aHandles)
 {
   const std::string& address = aBackend->address;
-  if (!co_await limits_.Acquire(aBackend, kPriorityClasses)) {
-    // They go with later ones; what is too much expires at its server.
-    if (resultsToRelease_[address].size() < kMaxHeldReleases) {
-      ReleaseLocally(std::move(aHandles));
-    }
+  const LimitPlace place = co_await limits_.Acquire(aBackend, kPriorityClasses);
+  if (place == LimitPlace::Refused) {
+    KeepForLater(address, std::move(aHandles));
     co_return;
   }
   const Instant deadline = Now().steady + kReleaseTimeout;
   BackendExchange exchange(state_.pool, address);
-  if (co_await exchange.Connect(Reuse::Any, deadline) != ExchangeState::Ok ||
-      !state_.registry.IsUsable(*aBackend)) {
+  if (co_await exchange.Connect(Reuse::Any, deadline) != ExchangeState::Ok) {
+    co_return;
+  }
+  const SendPermission permission =
+    SendIfGranted(state_,
+                  exchange,
+                  *aBackend,
+                  SendPath::Release,
+                  place,
+                  ToReleaseCall(address, aHandles));
+  if (!permission.IsGranted()) {
+    if (permission.EndsByItself()) {
+      KeepForLater(address, std::move(aHandles));
+    }
     co_return;
   }
-  exchange.Send(ToReleaseCall(address, aHandles));
   if (co_await exchange.ReadHead(deadline) != ExchangeState::Ok) {
     state_.metrics.Count("results_not_freed", "", "");
     co_return;
   }
   const BackendResponseHead head =
     DecodeBackendResponseHead(exchange.GetHead());
-  observer_.OnResponse(*aBackend, head, ResponseAge::Current, "release");
+  observer_.OnResponse(
+    *aBackend, head, ResponseAge::Current, SendPath::Release);
   const BodyPart body = co_await exchange.ReadRest(deadline, kMaxResponseBytes);
   OnResultsReleased(aHandles);
   if (body.state == ExchangeState::Ok) {
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -117,11 +117,18 @@
     const std::string& aService,
     const Batch& aBatch,
     CrashService::SendNumber aSend,
+    LimitPlace aPlace,
     std::vector<BatchItemResult>& aResults);
   boost::asio::awaitable<void> ReleaseLoop();
+  /** Releases results with later ones; what is too much expires at its server.
+   */
+  void KeepForLater(const std::string& aAddress,
+                    std::vector<std::string> aHandles);
   boost::asio::awaitable<void> SendReleaseCall(
     BackendPtr aBackend,
     std::vector<std::string> aHandles);
+  /** How many servers of a stage service may get calls now. */
+  ServiceAvailability AvailabilityOfServers(std::string_view aService) const;
   /** Notifies the local queues that results no longer occupy memory. */
   void OnResultsReleased(std::span<const std::string> aHandles);
 
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/request_handler.h"
 
 #include "core/gateway/request_identity.h"
+#include "core/gateway/service_availability.h"
 #include "core/hash.h"
 #include "drivers/clock.h"
 #include "platform/piece_calls.h"
@@ -148,7 +149,7 @@
       co_return;
     }
   }
-  if (co_await RefuseIfCrashing(attempt)) {
+  if (co_await RefuseIfCrashing(attempt) || co_await RefuseIfHeld(attempt)) {
     co_return;
   }
   EstimateReplica(attempt);
@@ -302,6 +303,30 @@
   co_return true;
 }
 
+asio::awaitable<bool> RequestHandler::RefuseIfHeld(Attempt& aAttempt)
+{
+  const ServiceAvailability availability =
+    AvailabilityOf(state_.registry.Usable(aAttempt.service->name),
+                   aAttempt.RequiredVersion(),
+                   state_.permissions,
+                   aAttempt.arrivedAt);
+  // The stages may take until the servers open.
+  const Instant latestSend =
+    aAttempt.plan.HasWork()
+      ? aAttempt.firstPartDeadline - kTypicalFirstEventTime
+      : aAttempt.arrivedAt;
+  if (!availability.IsHeld() || availability.opensAt <= latestSend) {
+    co_return false;
+  }
+  co_await Refuse(aAttempt,
+                  ErrorKindOf(availability.hold),
+                  RetryAfterHold(availability,
+                                 aAttempt.priority,
+                                 state_.DrawFraction(),
+                                 aAttempt.arrivedAt));
+  co_return true;
+}
+
 void RequestHandler::EstimateReplica(Attempt& aAttempt) const
 {
   if (!aAttempt.service->engine || !aAttempt.plan.HasWork()) {
@@ -312,7 +337,7 @@
   criteria.prompt = &aAttempt.parameters.prompt;
   criteria.prefixes = &state_.prefixes;
   criteria.version = aAttempt.RequiredVersion();
-  criteria.limitBlocks = &limits_.Blocks();
+  criteria.permissions = &state_.permissions;
   const auto choice =
     ChooseReplica(state_.registry.Usable(aAttempt.service->name),
                   criteria,
@@ -563,6 +588,7 @@
       { "outcome", outcome },
       { "status", status },
       { "route", aAttempt.route ? aAttempt.route->name : "" },
+      { "service", aAttempt.service ? aAttempt.service->name : "" },
       { "version",
         aAttempt.routeTable ? aAttempt.routeTable->Configuration().version
                             : 0 },
--- a/servers/gateway/response_observer.cpp
+++ b/servers/gateway/response_observer.cpp
@@ -1,5 +1,7 @@
 #include "servers/gateway/response_observer.h"
 
+#include "drivers/clock.h"
+
 namespace gypsum {
 
 ResponseObserver::ResponseObserver(GatewayState& aState,
@@ -14,7 +16,7 @@
 void ResponseObserver::OnResponse(const BackendRecord& aBackend,
                                   const BackendResponseHead& aHead,
                                   ResponseAge aAge,
-                                  std::string_view aCall)
+                                  SendPath aPath)
 {
   if (aHead.isLeaving) {
     peers_.OnLeavingResponse(aBackend);
@@ -23,12 +25,14 @@
   if (aAge == ResponseAge::Current) {
     limits_.OnResponse(aBackend, aHead.limit);
   }
-  if (aHead.rest.kind != RestStatement::Kind::None) {
+  if (state_.rests.OnStatement(aBackend, aHead.rest, Now())) {
     const bool isReadable = aHead.rest.kind == RestStatement::Kind::Rest;
+    state_.metrics.Count("rests_asked", "service", aBackend.service);
     state_.log.Write(LogClass::StateChange,
                      "backend-rest",
                      { { "backend", aBackend.id },
-                       { "call", aCall },
+                       { "service", aBackend.service },
+                       { "call", NameOf(aPath) },
                        { "readable", isReadable ? 1U : 0U },
                        { "asked", aHead.rest.length } });
   }
--- a/servers/gateway/response_observer.h
+++ b/servers/gateway/response_observer.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "core/gateway/backend_registry.h"
+#include "core/gateway/send_permissions.h"
 #include "platform/backend_response_head.h"
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
 
-#include <string_view>
-
 namespace gypsum {
 
 /** Whether a response answers the request that was sent last. */
@@ -25,11 +24,11 @@
                    PeerExchange& aPeers,
                    LimitService& aLimits);
 
-  /** Call it for each header that arrives; `aCall` names the kind of call. */
+  /** Call it for each header that arrives. */
   void OnResponse(const BackendRecord& aBackend,
                   const BackendResponseHead& aHead,
                   ResponseAge aAge,
-                  std::string_view aCall);
+                  SendPath aPath);
 
 private:
   GatewayState& state_;
--- /dev/null
+++ b/servers/gateway/send_gate.cpp
@@ -0,0 +1,30 @@
+#include "servers/gateway/send_gate.h"
+
+#include "drivers/clock.h"
+
+#include <string>
+#include <utility>
+
+namespace gypsum {
+
+SendPermission SendIfGranted(GatewayState& aState,
+                             BackendExchange& aExchange,
+                             const BackendRecord& aBackend,
+                             SendPath aPath,
+                             LimitPlace aPlace,
+                             BackendExchange::Request aRequest)
+{
+  const SendPermission permission =
+    aState.permissions.Ask(aBackend, aPlace, Now().steady);
+  if (permission.IsGranted()) {
+    aExchange.Send(std::move(aRequest));
+  } else {
+    aState.metrics.Count("sends_held_back",
+                         "why",
+                         std::string(NameOf(aPath)) + ":" +
+                           std::string(NameOf(permission.hold)));
+  }
+  return permission;
+}
+
+} // namespace gypsum
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -3,6 +3,7 @@
 #include "core/gateway/stream_end.h"
 #include "drivers/clock.h"
 #include "platform/piece_calls.h"
+#include "servers/gateway/send_gate.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -53,6 +54,8 @@
 constexpr Duration kMaxTurnWait = std::chrono::milliseconds(1'500);
 /** Shared parts of a prompt that are named in a log line. */
 constexpr std::size_t kMaxLoggedParts = 8;
+/** Held servers that are named in a log line. */
+constexpr std::size_t kMaxLoggedServers = 8;
 
 std::string JoinWithCommas(const std::vector<std::string>& aTexts)
 {
@@ -113,7 +116,7 @@
   criteria.excluded = triedReplicas_;
   criteria.version = attempt_.RequiredVersion();
   criteria.excludedVersions = excludedVersions_;
-  criteria.limitBlocks = &limits_.Blocks();
+  criteria.permissions = &state_.permissions;
   if (service.engine) {
     criteria.prompt = &attempt_.parameters.prompt;
     criteria.prefixes = &state_.prefixes;
@@ -131,6 +134,29 @@
     state_.registry.Usable(service.name), criteria, state_.loads, Now().steady);
 }
 
+ServiceAvailability SendLoop::Availability() const
+{
+  return AvailabilityOf(state_.registry.Usable(attempt_.service->name),
+                        attempt_.RequiredVersion(),
+                        state_.permissions,
+                        Now().steady);
+}
+
+std::string SendLoop::NamesOfHeld() const
+{
+  const Instant now = Now().steady;
+  std::vector<std::string> names;
+  for (const BackendPtr& server :
+       state_.registry.Usable(attempt_.service->name)) {
+    const SendPermission permission =
+      state_.permissions.AskUsable(*server, LimitPlace::Open, now);
+    if (!permission.IsGranted() && names.size() < kMaxLoggedServers) {
+      names.push_back(server->id + ":" + std::string(NameOf(permission.hold)));
+    }
+  }
+  return JoinWithCommas(names);
+}
+
 BackendHeaders SendLoop::HeadersFor(const BackendRecord& aBackend) const
 {
   BackendHeaders headers;
@@ -209,13 +235,13 @@
     excludedVersions_ = std::move(decision.excludedVersions);
     chosenAt_ = Now().steady;
     const auto choice = Choose();
+    LimitPlace place = LimitPlace::NotNeeded;
     if (choice && state_.limits.Find(*choice->backend)) {
-      const bool hasPlace =
-        co_await limits_.Acquire(choice->backend, attempt_.priority);
+      place = co_await limits_.Acquire(choice->backend, attempt_.priority);
       // Another request may have begun to try its traits meanwhile.
       const bool isNext =
         crashes_.Decide(attempt_.MakeTraitQuestion()).step == decision.step;
-      if (!hasPlace || !isNext) {
+      if (place == LimitPlace::Refused || !isNext) {
         continue;
       }
     }
@@ -249,7 +275,7 @@
     }
     sendNumber_ = crashes_.OnSent(
       choice->backend, attempt_.traits, std::move(decision.suspects));
-    const SendResult result = co_await SendOnce(*choice);
+    const SendResult result = co_await SendOnce(*choice, place);
     ReportEnd(result);
     state_.loads.OnEnded(
       choice->backend->id, uncachedTokens_, result.outcome, Now().steady);
@@ -257,6 +283,11 @@
     if (!result.failure) {
       co_return;
     }
+    if (*result.failure == SendFailure::HeldBack) {
+      // It may go to another server, or to this one later.
+      LogFailedSend(*choice, result, "choose-again");
+      continue;
+    }
     triedReplicas_.push_back(choice->backend->id);
     sendCount_ += result.wasSent ? 1 : 0;
     mayHaveRun_ = mayHaveRun_ || *result.failure == SendFailure::Lost ||
@@ -267,22 +298,7 @@
                                            mayHaveRun_,
                                            hasResponseBegun_,
                                            CanSendMore(Now().steady) });
-    state_.log.Write(
-      LogClass::Failure,
-      "send-failed",
-      { { "id", attempt_.parameters.id },
-        { "backend", choice->backend->id },
-        { "end", NameOf(*result.failure) },
-        { "reason", result.reason },
-        { "after", Now().steady - now },
-        { "expected", choice->expected },
-        { "running", static_cast<std::uint64_t>(choice->running) },
-        { "events", splitter_.Events() - eventsBeforeSend_ },
-        { "framing", responseEnd_.framing },
-        { "connection", responseEnd_.connection },
-        { "partial", responseEnd_.partialBytes },
-        { "next", NameOf(step) } });
-    state_.metrics.Count("sends_failed", "end", NameOf(*result.failure));
+    LogFailedSend(*choice, result, NameOf(step));
     if (step != NextStep::Retry && step != NextStep::Resume) {
       co_await FinishWithFailure(step, *result.failure);
       co_return;
@@ -292,6 +308,27 @@
   }
 }
 
+void SendLoop::LogFailedSend(const ChosenReplica& aChoice,
+                             const SendResult& aResult,
+                             std::string_view aNext)
+{
+  state_.log.Write(LogClass::Failure,
+                   "send-failed",
+                   { { "id", attempt_.parameters.id },
+                     { "backend", aChoice.backend->id },
+                     { "end", NameOf(*aResult.failure) },
+                     { "reason", aResult.reason },
+                     { "after", Now().steady - sentAt_ },
+                     { "expected", aChoice.expected },
+                     { "running", static_cast<std::uint64_t>(aChoice.running) },
+                     { "events", splitter_.Events() - eventsBeforeSend_ },
+                     { "framing", responseEnd_.framing },
+                     { "connection", responseEnd_.connection },
+                     { "partial", responseEnd_.partialBytes },
+                     { "next", aNext } });
+  state_.metrics.Count("sends_failed", "end", NameOf(*aResult.failure));
+}
+
 void SendLoop::ReportEnd(const SendResult& aResult)
 {
   const bool isBroken = aResult.failure == SendFailure::Lost ||
@@ -307,7 +344,8 @@
 }
 
 asio::awaitable<SendLoop::SendResult> SendLoop::SendOnce(
-  const ChosenReplica& aChoice)
+  const ChosenReplica& aChoice,
+  LimitPlace aPlace)
 {
   const BackendRecord& backend = *aChoice.backend;
   BackendExchange exchange(state_.pool, backend.address);
@@ -330,16 +368,21 @@
                           "no-connection",
                           false };
   }
-  if (!state_.registry.IsUsable(backend)) {
+  const SendPermission permission = SendIfGranted(
+    state_,
+    exchange,
+    backend,
+    SendPath::Request,
+    aPlace,
+    ToBackendRequest(attempt_.client->GetRequest(), HeadersFor(backend)));
+  if (!permission.IsGranted()) {
     attempt_.cancellation.ClearOnCancel();
-    co_return SendResult{ SendFailure::NotConnected,
+    co_return SendResult{ SendFailure::HeldBack,
                           SendOutcome::Abandoned,
-                          "draining-or-gone",
+                          NameOf(permission.hold),
                           false };
   }
   crashes_.Detector().OnConnected(sendNumber_, exchange.OpenedAt());
-  exchange.Send(
-    ToBackendRequest(attempt_.client->GetRequest(), HeadersFor(backend)));
   state_.log.Write(
     LogClass::Normal,
     "request-sent",
@@ -354,6 +397,7 @@
       { "running", static_cast<std::uint64_t>(aChoice.running) },
       { "waited", Now().steady - attempt_.arrivedAt },
       { "chosen", Now().steady - chosenAt_ },
+      { "passed-over", NamesOfHeld() },
       { "unread", aChoice.uncachedTokens },
       { "cached", aChoice.cachedTokens },
       { "left", attempt_.responseDeadline - Now().steady } });
@@ -394,7 +438,7 @@
                          head,
                          isForThisAttempt ? ResponseAge::Current
                                           : ResponseAge::Late,
-                         "request");
+                         SendPath::Request);
     if (!isForThisAttempt && skipped < kMaxSkippedResponses) {
       // A late second response to an earlier request; the one to this attempt
       // follows.
@@ -616,11 +660,17 @@
   ErrorKind kind = ErrorKind::BackendFailed;
   Duration retryAfter{};
   if (aStep == NextStep::RefuseNotRun) {
-    const auto limitRetryAfter = limits_.RetryAfter(attempt_.service->name);
-    kind = limitRetryAfter                     ? ErrorKind::ServerLimit
-           : aFailure == SendFailure::Rejected ? ErrorKind::Overloaded
+    const ServiceAvailability availability = Availability();
+    const Instant now = Now().steady;
+    if (availability.IsHeld()) {
+      kind = ErrorKindOf(availability.hold);
+      retryAfter = RetryAfterHold(
+        availability, attempt_.priority, state_.DrawFraction(), now);
+    } else {
+      kind = aFailure == SendFailure::Rejected ? ErrorKind::Overloaded
                                                : ErrorKind::NoReplica;
-    retryAfter = limitRetryAfter.value_or(kBusyRetryAfter);
+      retryAfter = kBusyRetryAfter;
+    }
   } else if (isLate) {
     kind = ErrorKind::DeadlineExceeded;
   }
@@ -690,6 +740,7 @@
                    { { "id", attempt_.parameters.id },
                      { "outcome", aOutcome },
                      { "status", aStatus },
+                     { "service", attempt_.service->name },
                      { "trait", attempt_.refusedTrait },
                      { "events", splitter_.Events() },
                      { "framing", responseEnd_.framing },
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -3,6 +3,7 @@
 #include "core/gateway/event_splitter.h"
 #include "core/gateway/replica_choice.h"
 #include "core/gateway/retry_policy.h"
+#include "core/gateway/service_availability.h"
 #include "drivers/edge/backend_exchange.h"
 #include "platform/backend_response_head.h"
 #include "servers/gateway/attempt.h"
@@ -66,7 +67,8 @@
     std::size_t partialBytes = 0; ///< Of an incomplete event.
   };
 
-  boost::asio::awaitable<SendResult> SendOnce(const ChosenReplica& aChoice);
+  boost::asio::awaitable<SendResult> SendOnce(const ChosenReplica& aChoice,
+                                              LimitPlace aPlace);
   boost::asio::awaitable<SendResult> ReadResponse(BackendExchange& aExchange,
                                                   const ChosenReplica& aChoice);
   boost::asio::awaitable<SendResult> RelayResponse(
@@ -80,11 +82,18 @@
   /** Ends the attempt without a usable response from a backend server. */
   boost::asio::awaitable<void> FinishWithFailure(NextStep aStep,
                                                  SendFailure aFailure);
+  void LogFailedSend(const ChosenReplica& aChoice,
+                     const SendResult& aResult,
+                     std::string_view aNext);
   /** Tells what a send showed of its backend server's health. */
   void ReportEnd(const SendResult& aResult);
   /** Ends the attempt because of a part of its prompt. */
   boost::asio::awaitable<void> FinishWithTrait(const TraitDecision& aDecision);
   std::optional<ChosenReplica> Choose() const;
+  /** Of the servers that may serve the attempt. */
+  ServiceAvailability Availability() const;
+  /** Servers that are held, with the reason, for the log; the first few. */
+  std::string NamesOfHeld() const;
   BackendHeaders HeadersFor(const BackendRecord& aBackend) const;
   /** Until when the attempt waits while others try its suspect traits. */
   Instant TurnDeadline() const;
--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -113,7 +113,7 @@
       loop_,
       *store_,
       executions_,
-      senders_,
+      processes_,
       aKind,
       aService + "-" + std::to_string(index),
       aService,
@@ -214,6 +214,7 @@
     GYPSUM_BINARY,
     std::vector<std::string>{ "gateway", aGateway.settingsFile },
     aGateway.logFile);
+  processes_.Add(aGateway.process->Id());
 }
 
 bool Cell::Start()
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -2,8 +2,8 @@
 
 #include "tests/cell/cell_client.h"
 #include "tests/cell/cell_loop.h"
+#include "tests/cell/cell_processes.h"
 #include "tests/cell/cell_replica.h"
-#include "tests/cell/cell_senders.h"
 #include "tests/cell/cell_store.h"
 #include "tests/support/child_process.h"
 
@@ -93,7 +93,6 @@
   }
   /** All executions so far; call on the loop. */
   const std::vector<CellExecution>& Executions() const { return executions_; }
-  CellSenders& Senders() { return senders_; }
   std::vector<CellReplica*> Replicas();
   std::filesystem::path Folder() const { return folder_; }
 
@@ -122,7 +121,7 @@
   std::filesystem::path folder_;
   CellLoop loop_;
   std::vector<CellExecution> executions_;
-  CellSenders senders_;
+  CellProcesses processes_;
   std::unique_ptr<CellStore> store_;
   std::vector<std::unique_ptr<CellReplica>> modelReplicas_;
   std::vector<std::unique_ptr<CellReplica>> plainServers_;
--- a/tests/cell/cell_load.h
+++ b/tests/cell/cell_load.h
@@ -81,7 +81,6 @@
   /** Sends on a new connection. */
   CellResponse Send(const CellRequest& aRequest, std::size_t aGateway)
   {
-    cell_.Senders().Add(aRequest.attemptId, aGateway);
     return CellClient(cell_.Gateways()[aGateway].clientAddress).Send(aRequest);
   }
 
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -1,7 +1,9 @@
 #include "tests/cell/cell_replica.h"
 
 #include "drivers/clock.h"
+#include "drivers/edge/socket_options.h"
 #include "tests/cell/stream_check.h"
+#include "tests/support/connection_owner.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +29,11 @@
 constexpr milliseconds kServiceTime{ 15 };
 constexpr milliseconds kBatchCallTime{ 30 };
 
+std::uint64_t UnixMs()
+{
+  return static_cast<std::uint64_t>(Now().wall.time_since_epoch().count());
+}
+
 std::string Header(const ClientConnection& aClient, const char* aName)
 {
   const auto value = aClient.GetRequest()[aName];
@@ -45,7 +52,7 @@
 CellReplica::CellReplica(CellLoop& aLoop,
                          CellStore& aStore,
                          std::vector<CellExecution>& aExecutions,
-                         const CellSenders& aSenders,
+                         const CellProcesses& aProcesses,
                          Kind aKind,
                          std::string aId,
                          std::string aService,
@@ -54,12 +61,13 @@
   : loop_(aLoop.Context())
   , store_(aStore)
   , executions_(aExecutions)
-  , senders_(aSenders)
+  , processes_(aProcesses)
   , kind_(aKind)
   , id_(std::move(aId))
   , service_(std::move(aService))
   , address_(std::move(aAddress))
   , random_(aSeed)
+  , incarnation_(UnixMs())
 {
   Listen();
 }
@@ -111,7 +119,7 @@
 
 void CellReplica::Restart()
 {
-  ++incarnation_;
+  incarnation_ = std::max(incarnation_ + 1, UnixMs());
   isLeaving_ = false;
   results_.clear();
   PublishEntry("ready");
@@ -187,17 +195,16 @@
   return response;
 }
 
-bool CellReplica::IsTurnedAway()
+bool CellReplica::IsTurnedAway(const CellArrival& aArrival)
 {
-  if (!rest_) {
+  if (!rest_ || aArrival.gateway == 0) {
     return false;
   }
-  const CellArrival& arrival = arrivals_.back();
   const bool isAsked =
     std::ranges::any_of(rests_, [&](const CellAskedRest& aRest) {
-      return aRest.gateway == arrival.gateway &&
+      return aRest.gateway == aArrival.gateway &&
              aRest.incarnation == incarnation_ &&
-             arrival.at < aRest.at + aRest.length;
+             aArrival.at < aRest.at + aRest.length;
     });
   if (isAsked) {
     return rest_->turnsAway;
@@ -206,7 +213,7 @@
     return false;
   }
   rests_.push_back(
-    { arrival.gateway, incarnation_, Now().steady, rest_->length });
+    { aArrival.gateway, incarnation_, Now().steady, rest_->length });
   return true;
 }
 
@@ -247,16 +254,23 @@
 asio::awaitable<void> CellReplica::Serve(ClientConnectionPtr aClient)
 {
   const ClientLimits limits;
+  const pid_t gateway = OwnerOfConnection(aClient->RemoteEndpoint(),
+                                          *ParseEndpoint(address_),
+                                          processes_.All())
+                          .value_or(0);
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
-    const std::string attemptId = Header(*aClient, "Attempt-Id");
-    arrivals_.push_back(
-      { attemptId, Now().steady, senders_.GatewayOf(attemptId), incarnation_ });
+    const CellArrival arrival{ Header(*aClient, "Attempt-Id"),
+                               Now().steady,
+                               gateway,
+                               incarnation_,
+                               std::string(aClient->GetRequest().target()) };
+    arrivals_.push_back(arrival);
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
     const std::string expected = Header(*aClient, "Expect-Replica");
     const bool isMisdirected = !expected.empty() && expected != id_;
-    if (!isMisdirected && IsTurnedAway()) {
+    if (!isMisdirected && IsTurnedAway(arrival)) {
       co_await aClient->WriteResponse(RestResponse());
       continue;
     }
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -2,8 +2,8 @@
 
 #include "drivers/edge/edge_listener.h"
 #include "tests/cell/cell_loop.h"
+#include "tests/cell/cell_processes.h"
 #include "tests/cell/cell_response_writer.h"
-#include "tests/cell/cell_senders.h"
 #include "tests/cell/cell_store.h"
 
 #include <boost/json/value.hpp>
@@ -43,8 +43,9 @@
 {
   std::string attemptId; ///< Empty for calls about pieces.
   Instant at{};
-  std::size_t gateway = CellSenders::kQueueOwner;
+  pid_t gateway = 0;             ///< Process that sent it; zero if unknown.
   std::uint64_t incarnation = 0; ///< Of the server.
+  std::string path{};
 };
 
 /** How a server turns gateways away and asks them for rest. */
@@ -61,7 +62,7 @@
 /** A rest that a server has asked of one gateway. */
 struct CellAskedRest
 {
-  std::size_t gateway = 0;
+  pid_t gateway = 0;             ///< Process that was asked; zero if unknown.
   std::uint64_t incarnation = 0; ///< Of the server.
   Instant at{};
   Duration length{};
@@ -112,7 +113,7 @@
   CellReplica(CellLoop& aLoop,
               CellStore& aStore,
               std::vector<CellExecution>& aExecutions,
-              const CellSenders& aSenders,
+              const CellProcesses& aProcesses,
               Kind aKind,
               std::string aId,
               std::string aService,
@@ -170,9 +171,9 @@
                               std::string aBody) const;
   EdgeResponse NotExecutedResponse(unsigned aStatus) const;
   bool DrawFault(double aChance);
-  /** Whether the last arrival is turned away, for a rest that begins now or
-   * has begun before. */
-  bool IsTurnedAway();
+  /** Whether an arrival is turned away, for a rest that begins now or has
+   * begun before. */
+  bool IsTurnedAway(const CellArrival& aArrival);
   EdgeResponse RestResponse() const;
   /** Writes a response with the framing and the cut of the faults. */
   boost::asio::awaitable<bool> WriteFramed(ClientConnection& aClient,
@@ -188,7 +189,7 @@
   boost::asio::io_context& loop_;
   CellStore& store_;
   std::vector<CellExecution>& executions_;
-  const CellSenders& senders_;
+  const CellProcesses& processes_;
   Kind kind_;
   std::string id_;
   std::string service_;
@@ -211,7 +212,7 @@
   std::vector<Instant> crashes_;
   bool isDown_ = false;
   std::mt19937_64 random_;
-  std::uint64_t incarnation_ = 1;
+  std::uint64_t incarnation_; ///< Unix time of the start, in milliseconds.
   std::uint64_t seq_ = 0;
   std::uint32_t calls_ = 0;
   std::uint32_t maxConcurrentCalls_ = 0;
--- a/tests/cell/test_server_rest.cpp
+++ b/tests/cell/test_server_rest.cpp
@@ -146,8 +146,8 @@
   }
   SUBCASE("the owner of a queue calls for all gateways")
   {
-    SetRest(*cell.StageServers()[0]);
     StartClients("/staged/x");
+    SetRest(*cell.StageServers()[0]);
   }
   std::this_thread::sleep_for(kPlayTime);
   load.Stop();
