--- a/tests/cell/test_server_rest.cpp
+++ b/tests/cell/test_server_rest.cpp
@@ -58,6 +58,28 @@
     cell.Run([&] { aServer.SetRest(rest); });
   }
 
+  /** All plain servers turn all gateways away once, and ask for this rest. */
+  void RestAllPlain(const std::string& aText, milliseconds aLength)
+  {
+    CellRest rest;
+    rest.text = aText;
+    rest.length = aLength;
+    cell.Run([&] {
+      std::ranges::for_each(cell.PlainServers(),
+                            [&](auto& aServer) { aServer->SetRest(rest); });
+    });
+    for (std::size_t gateway = 0; gateway < cell.Gateways().size(); ++gateway) {
+      for (std::size_t sent = 0; sent < cell.PlainServers().size(); ++sent) {
+        load.Send(MakeRequest(cell, "/once/x"), gateway);
+      }
+    }
+    cell.Run([&] {
+      std::ranges::for_each(cell.PlainServers(), [&](auto& aServer) {
+        aServer->SetRest(std::nullopt);
+      });
+    });
+  }
+
   /** Most requests of one gateway in one rest of any server. */
   std::size_t MostInRests()
   {
@@ -88,6 +110,109 @@
 
 } // namespace
 
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] plain servers that ask for rest in turns get "
+                  "nothing in it and their service goes on")
+{
+  Group& plain = cell.PlainServers();
+  int leastServed = 0; // In percent.
+  SUBCASE("the others are sound")
+  {
+    leastServed = 95;
+  }
+  SUBCASE("the others fail requests")
+  {
+    leastServed = 60;
+    cell.Run([&] {
+      std::ranges::for_each(
+        plain, [](auto& aServer) { aServer->Faults().fail = 0.3; });
+    });
+  }
+  StartClients("/read/x");
+  StartClients("/once/x");
+  CellRest rest;
+  rest.text = "4";
+  rest.length = seconds(4);
+  for (std::size_t turn = 0; turn < 2; ++turn) {
+    cell.Run([&] {
+      plain[2 * turn]->SetRest(rest);
+      plain[2 * turn + 1]->SetRest(rest);
+    });
+    std::this_thread::sleep_for(seconds(5));
+    cell.Run([&] {
+      std::ranges::for_each(
+        plain, [](auto& aServer) { aServer->SetRest(std::nullopt); });
+    });
+  }
+  load.Stop();
+  CHECK(RestsAsked() > 0);
+  CHECK(MostInRests() <= kMostInRest);
+  CHECK(load.Served() * 100 >= load.Sent() * leastServed);
+}
+
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] a request waits for the end of a rest if it is "
+                  "still in time then")
+{
+  RestAllPlain("0.8", milliseconds(800));
+  const CellRequest request = MakeRequest(cell, "/once/x");
+  const CellResponse response = load.Send(request, 4);
+  CHECK(response.status == 200);
+  CHECK(cell.ExecutionsOf(request.attemptId).size() == 1);
+  CHECK(MostInRests() == 0);
+}
+
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] a request is refused at once if all servers "
+                  "rest for too long")
+{
+  RestAllPlain("20", seconds(20));
+  const CellRequest request = MakeRequest(cell, "/once/x");
+  const CellResponse response = load.Send(request, 4);
+  CHECK(response.status == 503);
+  REQUIRE_FALSE(response.retryAfter.empty());
+  CHECK(std::stod(response.retryAfter) > 15.0);
+  CHECK(std::stod(response.retryAfter) < 22.0);
+  CHECK(response.endedAt - response.sentAt < request.deadline / 4);
+  CHECK(cell.ExecutionsOf(request.attemptId).empty());
+  CHECK(MostInRests() == 0);
+}
+
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] requests that wait for the end of a rest reach "
+                  "the servers in steps")
+{
+  constexpr int kWaiting = 24;
+  RestAllPlain("0.8", milliseconds(800));
+  std::vector<std::thread> clients;
+  for (int client = 0; client < kWaiting; ++client) {
+    clients.emplace_back([this, request = MakeRequest(cell, "/once/x")] {
+      load.Send(request, 4);
+    });
+  }
+  std::ranges::for_each(clients, &std::thread::join);
+  // The first step of each server, and the next.
+  const std::size_t most = cell.Run([&] {
+    std::size_t found = 0;
+    for (const auto& server : cell.PlainServers()) {
+      for (const CellArrival& first : server->Arrivals()) {
+        const auto count = std::ranges::count_if(
+          server->Arrivals(), [&](const CellArrival& aArrival) {
+            return aArrival.gateway == first.gateway &&
+                   aArrival.at >
+                     server->Rests().back().at + milliseconds(700) &&
+                   aArrival.at >= first.at &&
+                   aArrival.at < first.at + milliseconds(40);
+          });
+        found = std::max(found, static_cast<std::size_t>(count));
+      }
+    }
+    return found;
+  });
+  CHECK(most <= 2);
+  CHECK(MostInRests() == 0);
+}
+
 TEST_CASE_FIXTURE(ServerRestFixture,
                   "[ServerRest] servers get nothing in their rests while other "
                   "conditions leave few to choose from")
