Let requests wait for servers that open in time, and return in steps

Cause: a held service refused all that arrived. Requests now wait for the first server that opens, for a second at most, the urgent ones first and no more than the servers take in time; others are refused at once, as before. So that those who wait don't come back in one blow, a gateway returns to a server with one request each 50 ms for half a second, and rests end up to 200 ms later at random.

--- a/core/gateway/backend_rests.h
+++ b/core/gateway/backend_rests.h
@@ -48,15 +48,28 @@
 public:
   /** Length of a rest whose length can't be read. */
   static constexpr Duration kUnreadableLength = std::chrono::seconds(1);
+  /** After a rest, requests return in steps: one in each gap, for this time. */
+  static constexpr Duration kReturnTime = std::chrono::milliseconds(500);
+  static constexpr Duration kReturnGap = std::chrono::milliseconds(50);
+  /** Gateways that were asked at the same moment return spread over this time,
+   * or over a quarter of a shorter rest. */
+  static constexpr Duration kMaxReturnSpread = std::chrono::milliseconds(200);
   /** Most that the wall clocks of servers and gateways differ. */
   static constexpr std::chrono::milliseconds kClockTolerance{ 500 };
 
-  /** True if the rest now lasts longer than was known. */
+  /** True if the rest now lasts longer than was known. `aSpread` is a random
+   * number from 0 to 1. */
   bool OnStatement(const BackendRecord& aBackend,
                    const RestStatement& aStatement,
-                   const ClockReading& aNow);
+                   const ClockReading& aNow,
+                   double aSpread);
+  /** A request is sent to the server. */
+  void OnSent(const BackendRecord& aBackend, Instant aNow);
   /** End of the rest; a time that has passed if there is none. */
   Instant RestsUntil(const BackendRecord& aBackend) const;
+  /** When the next step after a rest begins; a time that has passed if there is
+   * none to wait for. */
+  Instant NextStepAt(const BackendRecord& aBackend) const;
   bool IsEmpty() const { return rests_.empty(); }
   void Expire(Instant aNow);
 
@@ -67,8 +80,18 @@
   {
     Instant until{};
     std::uint64_t askedMs = 0; ///< Unix time, with the tolerance of clocks.
+    Instant lastSentAt{};      ///< After its end.
   };
 
+  /** Whether a rest binds an incarnation. */
+  static bool Binds(const std::pair<const Incarnation, Rest>& aRest,
+                    const BackendRecord& aBackend);
+  /** Calls the function with each rest that binds a server. */
+  template<typename Rests, typename Function>
+  static void ForEach(Rests& aRests,
+                      const BackendRecord& aBackend,
+                      Function aFunction);
+
   std::map<Incarnation, Rest> rests_; ///< By the incarnation that was listed.
 };
 
--- a/core/gateway/send_permissions.cpp
+++ b/core/gateway/send_permissions.cpp
@@ -7,7 +7,7 @@
 std::string_view NameOf(HoldReason aReason)
 {
   constexpr std::array<std::string_view, kHoldReasons.size()> kNames{
-    "none", "not-listed", "leaving", "resting", "limit-reached"
+    "none", "not-listed", "leaving", "resting", "returning", "limit-reached"
   };
   return kNames[static_cast<std::size_t>(aReason)];
 }
@@ -51,6 +51,10 @@
   if (aNow < restsUntil) {
     return { HoldReason::Resting, restsUntil };
   }
+  const Instant nextStepAt = rests_.NextStepAt(aBackend);
+  if (aNow < nextStepAt) {
+    return { HoldReason::Returning, nextStepAt };
+  }
   if (aPlace == LimitPlace::Taken) {
     return {};
   }
--- a/core/gateway/send_permissions.h
+++ b/core/gateway/send_permissions.h
@@ -18,14 +18,14 @@
   NotListed,    ///< The registry does not list this incarnation.
   Leaving,      ///< It leaves, by the store's word or its own.
   Resting,      ///< It has asked this gateway for rest.
+  Returning,    ///< Its rest has just ended; requests return in steps.
   LimitReached, ///< Its limit has no place for this gateway.
 };
 
-inline constexpr std::array kHoldReasons{ HoldReason::None,
-                                          HoldReason::NotListed,
-                                          HoldReason::Leaving,
-                                          HoldReason::Resting,
-                                          HoldReason::LimitReached };
+inline constexpr std::array kHoldReasons{
+  HoldReason::None,    HoldReason::NotListed, HoldReason::Leaving,
+  HoldReason::Resting, HoldReason::Returning, HoldReason::LimitReached
+};
 
 std::string_view NameOf(HoldReason aReason);
 
@@ -61,7 +61,8 @@
   bool IsGranted() const { return hold == HoldReason::None; }
   bool EndsByItself() const
   {
-    return hold == HoldReason::Resting || hold == HoldReason::LimitReached;
+    return hold == HoldReason::Resting || hold == HoldReason::Returning ||
+           hold == HoldReason::LimitReached;
   }
 
   bool operator==(const SendPermission&) const = default;
--- a/core/gateway/service_availability.cpp
+++ b/core/gateway/service_availability.cpp
@@ -40,6 +40,7 @@
       availability.opensAt = permission.until;
     }
     ++availability.held;
+    availability.holdEnds.push_back(permission.until);
   }
   return availability;
 }
--- a/core/gateway/service_availability.h
+++ b/core/gateway/service_availability.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace gypsum {
 
@@ -18,6 +19,7 @@
   /** Of the first hold that ends; not set while none is held. */
   HoldReason hold = HoldReason::None;
   Instant opensAt{};
+  std::vector<Instant> holdEnds; ///< Of all held servers, in no order.
 
   bool IsHeld() const { return open == 0 && held > 0; }
   /** When a request may be sent at the earliest. */
--- a/servers/gateway/attempt.cpp
+++ b/servers/gateway/attempt.cpp
@@ -17,6 +17,7 @@
 {
   switch (aReason) {
     case HoldReason::Resting:
+    case HoldReason::Returning:
       return ErrorKind::ServersResting;
     case HoldReason::LimitReached:
       return ErrorKind::ServerLimit;
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "core/gateway/backend_rests.h"
 #include "core/gateway/gateway_retry_budget.h"
 #include "core/gateway/gateway_settings.h"
+#include "core/gateway/held_requests.h"
 #include "core/gateway/limit_blocks.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/route_table.h"
@@ -62,6 +63,7 @@
   BackendLimits limits;
   LimitBlocks limitBlocks;
   BackendRests rests;
+  HeldRequests heldRequests;
   SendPermissions permissions{ registry, limits, limitBlocks, rests };
   PrefixCacheIndex prefixes;
   GatewayRetryBudget retryBudget;
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -311,10 +311,10 @@
                    state_.permissions,
                    aAttempt.arrivedAt);
   // The stages may take until the servers open.
-  const Instant latestSend =
-    aAttempt.plan.HasWork()
-      ? aAttempt.firstPartDeadline - kTypicalFirstEventTime
-      : aAttempt.arrivedAt;
+  const Instant latestSend = std::min(
+    aAttempt.firstPartDeadline - kTypicalFirstEventTime,
+    aAttempt.plan.HasWork() ? aAttempt.firstPartDeadline
+                            : aAttempt.arrivedAt + HeldRequests::kMaxWait);
   if (!availability.IsHeld() || availability.opensAt <= latestSend) {
     co_return false;
   }
--- a/servers/gateway/response_observer.cpp
+++ b/servers/gateway/response_observer.cpp
@@ -25,7 +25,8 @@
   if (aAge == ResponseAge::Current) {
     limits_.OnResponse(aBackend, aHead.limit);
   }
-  if (state_.rests.OnStatement(aBackend, aHead.rest, Now())) {
+  if (state_.rests.OnStatement(
+        aBackend, aHead.rest, Now(), state_.DrawFraction())) {
     const bool isReadable = aHead.rest.kind == RestStatement::Kind::Rest;
     state_.metrics.Count("rests_asked", "service", aBackend.service);
     state_.log.Write(LogClass::StateChange,
--- a/servers/gateway/send_gate.cpp
+++ b/servers/gateway/send_gate.cpp
@@ -14,9 +14,11 @@
                              LimitPlace aPlace,
                              BackendExchange::Request aRequest)
 {
+  const Instant now = Now().steady;
   const SendPermission permission =
-    aState.permissions.Ask(aBackend, aPlace, Now().steady);
+    aState.permissions.Ask(aBackend, aPlace, now);
   if (permission.IsGranted()) {
+    aState.rests.OnSent(aBackend, now);
     aExchange.Send(std::move(aRequest));
   } else {
     aState.metrics.Count("sends_held_back",
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -25,6 +25,8 @@
 constexpr int kMaxSkippedResponses = 2;
 /** No send starts with less time left than this. */
 constexpr Duration kMinSendTime = std::chrono::milliseconds(20);
+/** No request waits for a held server if less time than this would be left. */
+constexpr Duration kMinHeldSendTime = std::chrono::milliseconds(150);
 /** Minimum time without an event until another replica resumes a stream. */
 constexpr Duration kMinEventTimeout = std::chrono::milliseconds(700);
 /** The same, as a multiple of the route's target for event gaps. */
@@ -104,6 +106,7 @@
   , limits_(aLimits)
   , observer_(aObserver)
   , attempt_(aAttempt)
+  , ticket_(aState.heldRequests.Draw(aAttempt.priority))
   , fetchTimer_(aState.loop)
 {
 }
@@ -177,7 +180,7 @@
   return !attempt_.cancellation.IsCancelled() && !areInputsReleased_ &&
          sendCount_ < std::max(1U, attempt_.route->maxReplicas) &&
          attempt_.responseDeadline - aNow > kMinSendTime &&
-         Choose().has_value() &&
+         (Choose().has_value() || TryHeldAt().has_value()) &&
          (sendCount_ == 0 ||
           state_.retryBudget.Take(attempt_.service->name, aNow));
 }
@@ -212,6 +215,42 @@
                              attempt_.route->gapTarget * kEventTimeoutGaps));
 }
 
+std::optional<Instant> SendLoop::TryHeldAt() const
+{
+  if (attempt_.cancellation.IsCancelled()) {
+    return std::nullopt;
+  }
+  const Instant now = Now().steady;
+  const Instant since = heldPlace_ ? heldSince_ : now;
+  const Instant end =
+    hasResponseBegun_ ? attempt_.responseDeadline : attempt_.firstPartDeadline;
+  return state_.heldRequests.TryAt(
+    attempt_.service->name,
+    Availability(),
+    ticket_,
+    std::min(since + HeldRequests::kMaxWait, end - kMinHeldSendTime));
+}
+
+asio::awaitable<void> SendLoop::AwaitHeld(Instant aUntil)
+{
+  if (!heldPlace_) {
+    heldSince_ = Now().steady;
+    heldPlace_.emplace(state_.heldRequests, attempt_.service->name, ticket_);
+    state_.log.Write(LogClass::Normal,
+                     "request-held",
+                     { { "id", attempt_.parameters.id },
+                       { "service", attempt_.service->name },
+                       { "for", aUntil - heldSince_ },
+                       { "passed-over", NamesOfHeld() } });
+  }
+  auto timer = std::make_shared<asio::steady_timer>(state_.loop, aUntil);
+  attempt_.cancellation.SetOnCancel([timer] { timer->cancel(); });
+  boost::system::error_code ignored;
+  co_await timer->async_wait(
+    asio::redirect_error(asio::use_awaitable, ignored));
+  attempt_.cancellation.ClearOnCancel();
+}
+
 Instant SendLoop::TurnDeadline() const
 {
   // The other half is for the send, or for the client to come back.
@@ -245,6 +284,11 @@
         continue;
       }
     }
+    if (const auto tryAt = choice ? std::nullopt : TryHeldAt()) {
+      co_await AwaitHeld(*tryAt);
+      continue;
+    }
+    heldPlace_.reset();
     const Instant now = Now().steady;
     if (!choice || attempt_.responseDeadline - now <= kMinSendTime) {
       co_await FinishWithFailure(DecideNextStep({ attempt_.route->repeatability,
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/event_splitter.h"
+#include "core/gateway/held_requests.h"
 #include "core/gateway/replica_choice.h"
 #include "core/gateway/retry_policy.h"
 #include "core/gateway/service_availability.h"
@@ -95,6 +96,10 @@
   /** Servers that are held, with the reason, for the log; the first few. */
   std::string NamesOfHeld() const;
   BackendHeaders HeadersFor(const BackendRecord& aBackend) const;
+  /** When to try again while all servers are held; empty if too late. */
+  std::optional<Instant> TryHeldAt() const;
+  /** Waits until then, or until the client leaves. */
+  boost::asio::awaitable<void> AwaitHeld(Instant aUntil);
   /** Until when the attempt waits while others try its suspect traits. */
   Instant TurnDeadline() const;
   /** Deadline for the header and the first event of a response. */
@@ -121,6 +126,10 @@
   LimitService& limits_;
   ResponseObserver& observer_;
   Attempt& attempt_;
+  HeldRequests::Ticket ticket_;
+  /** Counts the attempt as waiting from its first wait to its next send. */
+  std::optional<HeldRequests::Place> heldPlace_;
+  Instant heldSince_{}; ///< Of that first wait.
   std::vector<std::string> triedReplicas_;
   std::vector<std::string> excludedVersions_;
   CrashService::SendNumber sendNumber_ = 0; ///< Of the send that runs.
--- a/tests/cell/test_send_paths.cpp
+++ b/tests/cell/test_send_paths.cpp
@@ -26,6 +26,10 @@
 /** Time in which all gateways hear of a condition. */
 constexpr seconds kSettleTime{ 3 };
 constexpr double kLimit = 1.0;
+/** Right after a rest, so many requests of a gateway may arrive in this time:
+ * the steps, and what was on its way. */
+constexpr milliseconds kReturnWindow{ 200 };
+constexpr std::size_t kMostOnReturn = 6;
 
 /** The ways by which requests reach a server. */
 enum class Path
@@ -89,6 +93,11 @@
       case HoldReason::Resting:
         aTarget.SetRest(rest);
         return true;
+      case HoldReason::Returning:
+        rest.length = milliseconds(600);
+        rest.text = "0.6";
+        aTarget.SetRest(rest);
+        return true;
       case HoldReason::LimitReached:
         aTarget.SetLimit(std::to_string(kLimit));
         return true;
@@ -145,6 +154,9 @@
         CHECK(cell.Run([&] { return RestsAt(aPath); }) > 0);
         CHECK(cell.Run([&] { return MostInRest(aPath); }) <= kMostInRest);
         return;
+      case HoldReason::Returning:
+        CHECK(cell.Run([&] { return MostOnReturn(aPath); }) <= kMostOnReturn);
+        return;
       case HoldReason::LimitReached:
         CHECK(static_cast<double>(aArrivals) <= MostWithin(kLimit));
         return;
@@ -188,6 +200,25 @@
     return most;
   }
 
+  /** Most arrivals of one path and one gateway soon after one rest. */
+  std::size_t MostOnReturn(Path aPath) const
+  {
+    const CellReplica& target = TargetOf(aPath);
+    std::size_t most = 0;
+    for (const CellAskedRest& rest : target.Rests()) {
+      const Instant end = rest.at + rest.length;
+      most = std::max(most,
+                      static_cast<std::size_t>(std::ranges::count_if(
+                        target.Arrivals(), [&](const CellArrival& aArrival) {
+                          return PathOf(aArrival, target.Id()) == aPath &&
+                                 aArrival.gateway == rest.gateway &&
+                                 aArrival.at > end &&
+                                 aArrival.at < end + kReturnWindow;
+                        })));
+    }
+    return most;
+  }
+
   Cell cell{ CellSize{ 3, 3, 3, 2 } };
   CellLoad load{ cell };
   std::array<CellReplica*, 3> targets{};
--- a/tests/gateway/test_send_permissions.cpp
+++ b/tests/gateway/test_send_permissions.cpp
@@ -1,4 +1,5 @@
 #include "core/gateway/batch_queue.h"
+#include "core/gateway/held_requests.h"
 #include "core/gateway/replica_choice.h"
 #include "core/gateway/send_permissions.h"
 #include "core/gateway/service_availability.h"
@@ -45,7 +46,8 @@
 
   void AskRest(const BackendRecord& aServer, Duration aLength)
   {
-    rests.OnStatement(aServer, { RestStatement::Kind::Rest, aLength }, now);
+    rests.OnStatement(
+      aServer, { RestStatement::Kind::Rest, aLength }, now, 0.0);
   }
 
   void Advance(Duration aTime)
@@ -82,6 +84,11 @@
       case HoldReason::Resting:
         AskRest(aServer, seconds(3));
         return true;
+      case HoldReason::Returning:
+        AskRest(aServer, seconds(3));
+        Advance(seconds(3));
+        rests.OnSent(aServer, now.steady);
+        return true;
       case HoldReason::LimitReached:
         limits.OnStatement(
           aServer, { LimitStatement::Kind::Limit, 1.0 }, now.steady);
@@ -148,11 +155,12 @@
   }
   SUBCASE("a response without a rest")
   {
-    CHECK_FALSE(rests.OnStatement(server, {}, now));
+    CHECK_FALSE(rests.OnStatement(server, {}, now, 0.0));
   }
   SUBCASE("a rest that can't be read")
   {
-    rests.OnStatement(server, { RestStatement::Kind::Unreadable, {} }, now);
+    rests.OnStatement(
+      server, { RestStatement::Kind::Unreadable, {} }, now, 0.0);
   }
   SUBCASE("its entry is removed and comes back")
   {
@@ -169,7 +177,7 @@
 {
   const BackendRecord server = Server(0);
   CHECK(rests.OnStatement(
-    server, { RestStatement::Kind::Unreadable, Duration{} }, now));
+    server, { RestStatement::Kind::Unreadable, Duration{} }, now, 0.0));
   CHECK(rests.RestsUntil(server) ==
         now.steady + BackendRests::kUnreadableLength);
 }
@@ -194,6 +202,82 @@
   }
 }
 
+TEST_CASE_FIXTURE(PermissionFixture,
+                  "[BackendRests] after a rest requests return in steps")
+{
+  const BackendRecord server = Server(0);
+  AskRest(server, seconds(3));
+  Advance(seconds(3));
+  std::size_t sent = 0;
+  for (int step = 0; step < 500; ++step) {
+    if (Ask(server).IsGranted()) {
+      rests.OnSent(server, now.steady);
+      ++sent;
+    }
+    Advance(milliseconds(1));
+  }
+  CHECK(sent >= 9);
+  CHECK(sent <= 10);
+  rests.OnSent(server, now.steady);
+  CHECK(Ask(server).IsGranted());
+}
+
+TEST_CASE_FIXTURE(PermissionFixture,
+                  "[BackendRests] gateways that were asked at the same moment "
+                  "return one after the other")
+{
+  const BackendRecord server = Server(0);
+  const auto endOf = [&](Duration aLength, double aSpread) {
+    BackendRests others;
+    others.OnStatement(
+      server, { RestStatement::Kind::Rest, aLength }, now, aSpread);
+    return others.RestsUntil(server) - now.steady;
+  };
+  CHECK(endOf(seconds(3), 0.0) == seconds(3));
+  CHECK(endOf(seconds(3), 0.5) > seconds(3));
+  CHECK(endOf(seconds(3), 1.0) == seconds(3) + BackendRests::kMaxReturnSpread);
+  CHECK(endOf(milliseconds(100), 1.0) == milliseconds(125));
+}
+
+TEST_CASE_FIXTURE(PermissionFixture,
+                  "[HeldRequests] requests that wait go one after the other, "
+                  "the urgent ones first, and no more than there is time for")
+{
+  HeldRequests requests;
+  for (std::size_t index = 0; index < 3; ++index) {
+    AskRest(Server(index), milliseconds(400));
+  }
+  const Instant opensAt = now.steady + milliseconds(400);
+  const Instant latest = now.steady + seconds(1);
+  const auto tryAt = [&](const HeldRequests::Ticket& aTicket) {
+    return requests.TryAt("model", Availability(), aTicket, latest);
+  };
+  std::vector<std::unique_ptr<HeldRequests::Place>> places;
+  std::size_t refused = 0;
+  for (int count = 0; count < 100; ++count) {
+    const HeldRequests::Ticket ticket = requests.Draw(2);
+    if (tryAt(ticket)) {
+      places.push_back(
+        std::make_unique<HeldRequests::Place>(requests, "model", ticket));
+    } else {
+      ++refused;
+    }
+  }
+  // Three servers take one in each of 13 steps.
+  CHECK(places.size() == 39);
+  CHECK(refused == 61);
+  CHECK(tryAt(requests.Draw(1)) == opensAt);
+  CHECK_FALSE(tryAt(requests.Draw(2)));
+  CHECK(requests.TryAt("other", Availability(), requests.Draw(2), latest) ==
+        opensAt);
+  places.clear();
+  CHECK(tryAt(requests.Draw(2)) == opensAt);
+  AskRest(Server(0), seconds(2));
+  AskRest(Server(1), seconds(2));
+  AskRest(Server(2), seconds(2));
+  CHECK_FALSE(tryAt(requests.Draw(0)));
+}
+
 TEST_CASE_FIXTURE(PermissionFixture,
                   "[ServiceAvailability] a service is held until its first "
                   "server opens")
