Let the soak's servers ask for rest

Servers ask single gateways for rest of readable and unreadable lengths, one or all plain ones, beside leaving, limits, crashes, restarts and cuts. The check compares what each server asked of each gateway process with what reached it; a gateway that was stopped in a rest is excused. The new kind has its own source of randomness, so that the schedules of kept seeds stay.

--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -5,6 +5,7 @@
 #include "tests/cell/crash_check.h"
 #include "tests/cell/leaving_check.h"
 #include "tests/cell/limit_check.h"
+#include "tests/cell/rest_check.h"
 #include "tests/cell/stream_check.h"
 #include "tests/support/wait.h"
 
@@ -66,6 +67,7 @@
   , framingRandom_(aSeed)
   , hardshipRandom_(aSeed)
   , incidentRandom_(aSeed)
+  , restRandom_(aSeed)
   , cell_(aSize, aSeed)
   , faultDuration_(aFaultDuration)
 {
@@ -228,9 +230,11 @@
     case 2:
       RecordFault("gateway-pause");
       disturb();
+      pauses_.push_back({ gateway.process->Id(), Now().steady, {} });
       gateway.process->Signal(SIGSTOP);
       std::this_thread::sleep_for(milliseconds(200 + random_() % 1'500));
       gateway.process->Signal(SIGCONT);
+      pauses_.back().until = Now().steady;
       disturb();
       break;
     case 3:
@@ -405,6 +409,75 @@
   }
 }
 
+void Soak::InjectRest()
+{
+  struct Words
+  {
+    const char* text;
+    milliseconds length;
+  };
+  constexpr std::array<Words, 5> kWords{ { { "1", milliseconds(1'000) },
+                                           { "2.5", milliseconds(2'500) },
+                                           { "1, 3", milliseconds(3'000) },
+                                           { "0.8", milliseconds(800) },
+                                           { "later", milliseconds(1'000) } } };
+  const auto servers = cell_.Replicas();
+  switch (restRandom_() % 4) {
+    case 0:
+    case 1: {
+      RecordFault("server-rests");
+      CellReplica* const server = servers[restRandom_() % servers.size()];
+      const Words& words = kWords[restRandom_() % kWords.size()];
+      CellRest rest;
+      rest.text = words.text;
+      rest.length = words.length;
+      rest.chance = 0.3;
+      rest.isNotExecuted = restRandom_() % 4 != 0;
+      rest.turnsAway = restRandom_() % 2 == 0;
+      cell_.Run([&] { server->SetRest(rest); });
+      break;
+    }
+    case 2:
+      RecordFault("all-plain-servers-rest");
+      cell_.Run([&] {
+        for (auto& server : cell_.PlainServers()) {
+          server->SetRest(CellRest{});
+        }
+      });
+      break;
+    default:
+      cell_.Run([&] {
+        std::ranges::for_each(servers, [](CellReplica* aServer) {
+          aServer->SetRest(std::nullopt);
+        });
+      });
+      break;
+  }
+}
+
+void Soak::CheckRests()
+{
+  const auto wasPaused = [&](const CellAskedRest& aRest) {
+    return std::ranges::any_of(pauses_, [&](const Pause& aPause) {
+      return aPause.process == aRest.gateway &&
+             aPause.from < aRest.at + aRest.length && aRest.at < aPause.until;
+    });
+  };
+  cell_.Run([&] {
+    for (const CellReplica* const server : cell_.Replicas()) {
+      report_.rests += server->Rests().size();
+      for (const CellAskedRest& rest : server->Rests()) {
+        const std::size_t arrivals = ArrivalsIn(rest, server->Arrivals());
+        if (arrivals > kMostInRest && !wasPaused(rest)) {
+          report_.violations.push_back(server->Id() + " got " +
+                                       std::to_string(arrivals) +
+                                       " requests of one gateway in its rest");
+        }
+      }
+    }
+  });
+}
+
 std::map<std::string, std::size_t> Soak::GatewaysOfAttempts() const
 {
   std::map<std::string, std::size_t> gateways;
@@ -436,6 +509,7 @@
     }
     InjectHardship();
     InjectIncident();
+    InjectRest();
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
@@ -468,6 +542,7 @@
   CheckLimits();
   CheckCrashingRequest();
   CheckLeaving();
+  CheckRests();
   CheckRecovery();
   CheckRequests();
   CheckDrains();
@@ -613,6 +688,7 @@
       replica->Faults() = {};
       replica->SetCrash({});
       replica->SetLimit(std::nullopt);
+      replica->SetRest(std::nullopt);
       if (drainedAt_.contains(replica->Id())) {
         // Replaces the drained server by a new incarnation of the same id.
         replica->Restart();
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -41,6 +41,7 @@
   std::size_t crashes = 0;          ///< Of servers, on a part of a prompt.
   std::size_t requestCrashes = 0;   ///< Of servers, on a request as a whole.
   std::size_t leavingWords = 0;     ///< Responses of servers that leave.
+  std::size_t rests = 0;            ///< That servers asked of gateways.
 };
 
 /**
@@ -78,7 +79,10 @@
   void InjectHardship();
   /** Makes servers crash on a request, or say that they leave. */
   void InjectIncident();
+  /** Makes servers ask for rest, or stop to. */
+  void InjectRest();
   void CheckCrashingRequest();
+  void CheckRests();
   void CheckLeaving();
   /** The gateway of each attempt. */
   std::map<std::string, std::size_t> GatewaysOfAttempts() const;
@@ -94,6 +98,7 @@
   std::mt19937_64 framingRandom_;
   std::mt19937_64 hardshipRandom_;
   std::mt19937_64 incidentRandom_;
+  std::mt19937_64 restRandom_;
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
@@ -114,6 +119,15 @@
   std::atomic<bool> isPartCrashing_ = false;
   std::atomic<bool> isRequestCrashing_ = false;
   std::map<std::size_t, std::vector<Instant>> disturbedAt_; ///< By gateway.
+  /** A time for which a gateway process was stopped. */
+  struct Pause
+  {
+    pid_t process = 0;
+    Instant from{};
+    Instant until{};
+  };
+
+  std::vector<Pause> pauses_;
   Instant lastStoreFault_{};
   SoakReport report_;
 };
