Wait for rests to end only, not for places in limits

Found on reading the diff: a request also waited for a server whose limit had no place, of which the end of a block promises nothing, and was then refused late. Requests with stages are the only ones that are refused at arrival now; others are decided once, before the send.

--- a/core/gateway/held_requests.cpp
+++ b/core/gateway/held_requests.cpp
@@ -14,11 +14,11 @@
 namespace {
 
 /** When a request with so many others ahead is sent, if each server takes one
- * in each step from the end of its hold on. */
-Instant TurnOf(std::size_t aAhead, std::span<const Instant> aHoldEnds)
+ * in each step from the end of its rest on. */
+Instant TurnOf(std::size_t aAhead, std::span<const Instant> aRestEnds)
 {
   std::priority_queue<Instant, std::vector<Instant>, std::greater<>> next(
-    aHoldEnds.begin(), aHoldEnds.end());
+    aRestEnds.begin(), aRestEnds.end());
   for (std::size_t taken = 0; taken < aAhead; ++taken) {
     const Instant at = next.top();
     next.pop();
@@ -35,7 +35,8 @@
   const Ticket& aTicket,
   Instant aLatest) const
 {
-  if (!aAvailability.IsHeld()) {
+  // The end of a block by a limit does not promise a place.
+  if (!aAvailability.IsHeld() || aAvailability.restEnds.empty()) {
     return std::nullopt;
   }
   const auto found = waiting_.find(aService);
@@ -44,7 +45,7 @@
                        : std::distance(found->second.begin(),
                                        found->second.lower_bound(aTicket));
   const Instant at =
-    TurnOf(static_cast<std::size_t>(ahead), aAvailability.holdEnds);
+    TurnOf(static_cast<std::size_t>(ahead), aAvailability.restEnds);
   return at <= aLatest ? std::optional(at) : std::nullopt;
 }
 
--- a/core/gateway/held_requests.h
+++ b/core/gateway/held_requests.h
@@ -15,15 +15,16 @@
 namespace gypsum {
 
 /**
- * Requests that wait because all servers of their service are held.
+ * Requests that wait for a rest to end, since all servers of their service are
+ * held.
  *
- * Decides from the holds and from the requests that wait already, not from the
+ * Decides from the rests and from the requests that wait already, not from the
  * load of the servers.
  */
 class HeldRequests
 {
 public:
-  /** Longest wait for a hold to end. */
+  /** Longest wait for a rest to end. */
   static constexpr Duration kMaxWait = std::chrono::seconds(1);
 
   /** Position of a request: the urgent ones first, then the older ones. */
@@ -36,9 +37,9 @@
   };
 
   Ticket Draw(std::uint32_t aPriority) { return { aPriority, ++lastNumber_ }; }
-  /** When to try to send a request; empty if its servers are not held, or if it
-   * would be later than `aLatest`. A server that opens takes the requests that
-   * wait one after the other. */
+  /** When to try to send a request; empty if its servers are not held, if none
+   * of them rests, or if it would be later than `aLatest`. A server that opens
+   * takes the requests that wait one after the other. */
   std::optional<Instant> TryAt(std::string_view aService,
                                const ServiceAvailability& aAvailability,
                                const Ticket& aTicket,
--- a/core/gateway/service_availability.cpp
+++ b/core/gateway/service_availability.cpp
@@ -40,7 +40,9 @@
       availability.opensAt = permission.until;
     }
     ++availability.held;
-    availability.holdEnds.push_back(permission.until);
+    if (permission.hold != HoldReason::LimitReached) {
+      availability.restEnds.push_back(permission.until);
+    }
   }
   return availability;
 }
--- a/core/gateway/service_availability.h
+++ b/core/gateway/service_availability.h
@@ -19,7 +19,7 @@
   /** Of the first hold that ends; not set while none is held. */
   HoldReason hold = HoldReason::None;
   Instant opensAt{};
-  std::vector<Instant> holdEnds; ///< Of all held servers, in no order.
+  std::vector<Instant> restEnds; ///< Of the servers that rest, in no order.
 
   bool IsHeld() const { return open == 0 && held > 0; }
   /** When a request may be sent at the earliest. */
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -149,7 +149,10 @@
       co_return;
     }
   }
-  if (co_await RefuseIfCrashing(attempt) || co_await RefuseIfHeld(attempt)) {
+  if (co_await RefuseIfCrashing(attempt)) {
+    co_return;
+  }
+  if (attempt.plan.HasWork() && co_await RefuseIfHeld(attempt)) {
     co_return;
   }
   EstimateReplica(attempt);
@@ -310,12 +313,9 @@
                    aAttempt.RequiredVersion(),
                    state_.permissions,
                    aAttempt.arrivedAt);
-  // The stages may take until the servers open.
-  const Instant latestSend = std::min(
-    aAttempt.firstPartDeadline - kTypicalFirstEventTime,
-    aAttempt.plan.HasWork() ? aAttempt.firstPartDeadline
-                            : aAttempt.arrivedAt + HeldRequests::kMaxWait);
-  if (!availability.IsHeld() || availability.opensAt <= latestSend) {
+  const bool opensInTime =
+    availability.opensAt <= aAttempt.firstPartDeadline - kTypicalFirstEventTime;
+  if (!availability.IsHeld() || opensInTime) {
     co_return false;
   }
   co_await Refuse(aAttempt,
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -42,8 +42,8 @@
   TraitDecision DecideByCrashes(const Attempt& aAttempt) const;
   /** Refuses a request that crashes servers; false if it does not. */
   boost::asio::awaitable<bool> RefuseIfCrashing(Attempt& aAttempt);
-  /** Refuses a request whose servers are all held until it would be too late;
-   * false if one may be sent in time. */
+  /** Refuses a request, before its stages run, whose servers are all held until
+   * it would be too late; false if one opens in time. */
   boost::asio::awaitable<bool> RefuseIfHeld(Attempt& aAttempt);
   /** Estimates which model replica will serve the attempt, and when. */
   void EstimateReplica(Attempt& aAttempt) const;
--- a/tests/gateway/test_send_permissions.cpp
+++ b/tests/gateway/test_send_permissions.cpp
@@ -278,6 +278,18 @@
   CHECK_FALSE(tryAt(requests.Draw(0)));
 }
 
+TEST_CASE_FIXTURE(PermissionFixture,
+                  "[HeldRequests] requests do not wait for places in limits")
+{
+  HeldRequests requests;
+  for (std::size_t index = 0; index < 3; ++index) {
+    REQUIRE(Hold(Server(index), HoldReason::LimitReached));
+  }
+  REQUIRE(Availability().IsHeld());
+  CHECK_FALSE(requests.TryAt(
+    "model", Availability(), requests.Draw(0), now.steady + seconds(9)));
+}
+
 TEST_CASE_FIXTURE(PermissionFixture,
                   "[ServiceAvailability] a service is held until its first "
                   "server opens")
