Release results again whose server turned the release away

Found on reading the diff: a release that a server turned away for a rest was taken for done, so that the results stayed in its memory until they expired, while the queue counted that memory as free. The call is made again after the rest; without a rest, results still expire at their server.

The test failed twice of two runs before, and passes.

--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -609,7 +609,16 @@
   observer_.OnResponse(
     *aBackend, head, ResponseAge::Current, SendPath::Release);
   const BodyPart body = co_await exchange.ReadRest(deadline, kMaxResponseBytes);
-  OnResultsReleased(aHandles);
+  // Without a time to wait for, further calls would be turned away as well.
+  const bool isPutOff =
+    head.isNotExecuted &&
+    state_.permissions.Ask(*aBackend, LimitPlace::Open, Now().steady)
+      .EndsByItself();
+  if (isPutOff) {
+    KeepForLater(address, std::move(aHandles));
+  } else {
+    OnResultsReleased(aHandles);
+  }
   if (body.state == ExchangeState::Ok) {
     exchange.Finish(head.IdleTime(), !head.closes);
   }
--- a/tests/cell/test_server_rest.cpp
+++ b/tests/cell/test_server_rest.cpp
@@ -178,6 +178,23 @@
   CHECK(MostInRests() == 0);
 }
 
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] results are released after the rest in which "
+                  "their server turned the release away")
+{
+  StartClients("/staged/x");
+  SetRest(*cell.StageServers()[0]);
+  std::this_thread::sleep_for(seconds(4));
+  load.Stop();
+  cell.Run([&] { cell.StageServers()[0]->SetRest(std::nullopt); });
+  CHECK(RestsAsked() > 0);
+  CHECK(WaitUntil(
+    [&] {
+      return cell.Run([&] { return cell.StageServers()[0]->Results(); }) == 0;
+    },
+    seconds(6)));
+}
+
 TEST_CASE_FIXTURE(ServerRestFixture,
                   "[ServerRest] requests that wait for the end of a rest reach "
                   "the servers in steps")
