--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -220,8 +220,7 @@
   if (attempt_.cancellation.IsCancelled()) {
     return std::nullopt;
   }
-  const Instant now = Now().steady;
-  const Instant since = heldPlace_ ? heldSince_ : now;
+  const Instant since = heldSince_.value_or(Now().steady);
   const Instant end =
     hasResponseBegun_ ? attempt_.responseDeadline : attempt_.firstPartDeadline;
   return state_.heldRequests.TryAt(
@@ -234,13 +233,14 @@
 asio::awaitable<void> SendLoop::AwaitHeld(Instant aUntil)
 {
   if (!heldPlace_) {
-    heldSince_ = Now().steady;
+    const Instant now = Now().steady;
+    heldSince_ = heldSince_.value_or(now);
     heldPlace_.emplace(state_.heldRequests, attempt_.service->name, ticket_);
     state_.log.Write(LogClass::Normal,
                      "request-held",
                      { { "id", attempt_.parameters.id },
                        { "service", attempt_.service->name },
-                       { "for", aUntil - heldSince_ },
+                       { "for", aUntil - now },
                        { "passed-over", NamesOfHeld() } });
   }
   auto timer = std::make_shared<asio::steady_timer>(state_.loop, aUntil);
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -127,9 +127,9 @@
   ResponseObserver& observer_;
   Attempt& attempt_;
   HeldRequests::Ticket ticket_;
-  /** Counts the attempt as waiting from its first wait to its next send. */
+  /** Counts the attempt as waiting, until its next send. */
   std::optional<HeldRequests::Place> heldPlace_;
-  Instant heldSince_{}; ///< Of that first wait.
+  std::optional<Instant> heldSince_; ///< First wait of the attempt.
   std::vector<std::string> triedReplicas_;
   std::vector<std::string> excludedVersions_;
   CrashService::SendNumber sendNumber_ = 0; ///< Of the send that runs.
