--- a/tests/cell/test_server_rest.cpp
+++ b/tests/cell/test_server_rest.cpp
@@ -1,6 +1,8 @@
 #include "tests/cell/cell.h"
 #include "tests/cell/cell_load.h"
 #include "tests/cell/rest_check.h"
+#include "tests/support/child_process.h"
+#include "tests/support/read_file.h"
 #include "tests/support/wait.h"
 
 #include <doctest/doctest.h>
@@ -8,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <thread>
@@ -178,6 +181,26 @@
   CHECK(MostInRests() == 0);
 }
 
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] misc/explain names the rests behind a refusal")
+{
+  RestAllPlain("20", seconds(20));
+  const CellRequest request = MakeRequest(cell, "/once/x");
+  REQUIRE(load.Send(request, 4).status == 503);
+  const std::string output = cell.Folder() / "explained";
+  std::vector<std::string> arguments{ request.attemptId };
+  std::ranges::transform(
+    cell.Gateways(), std::back_inserter(arguments), &CellGateway::logFile);
+  CHECK(WaitUntil([&] {
+    ChildProcess("misc/explain", arguments, output).Wait();
+    const std::string text = ReadFile(output);
+    return text.find("outcome=servers-resting") != std::string::npos &&
+           text.find("event=backend-rest backend=plain-0 service=plain") !=
+             std::string::npos &&
+           text.find("node=gateway-0") == std::string::npos;
+  }));
+}
+
 TEST_CASE_FIXTURE(ServerRestFixture,
                   "[ServerRest] results are released after the rest in which "
                   "their server turned the release away")
