--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -270,8 +270,14 @@
     }
     const std::string expected = Header(*aClient, "Expect-Replica");
     const bool isMisdirected = !expected.empty() && expected != id_;
-    if (!isMisdirected && IsTurnedAway(arrival)) {
-      co_await aClient->WriteResponse(RestResponse());
+    // The gateway may have given up what waited meanwhile.
+    const bool hasWaited = Now().steady - arrival.at > milliseconds(50);
+    if (!isMisdirected && !hasWaited && IsTurnedAway(arrival)) {
+      EdgeResponse response = RestResponse();
+      if (rest_->delay.count() > 0) {
+        co_await Sleep(rest_->delay);
+      }
+      co_await aClient->WriteResponse(std::move(response));
       continue;
     }
     const auto target = aClient->GetRequest().target();
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -57,6 +57,8 @@
   double chance = 1.0;
   bool isNotExecuted = true; ///< Whether the response says so.
   bool turnsAway = false;    ///< Also what arrives in a rest.
+  /** Time from a request to the response that asks for rest. */
+  std::chrono::milliseconds delay{ 0 };
 };
 
 /** A rest that a server has asked of one gateway. */
--- a/tests/cell/test_server_rest.cpp
+++ b/tests/cell/test_server_rest.cpp
@@ -181,6 +181,30 @@
   CHECK(MostInRests() == 0);
 }
 
+TEST_CASE_FIXTURE(ServerRestFixture,
+                  "[ServerRest] a rest that is asked for of a request whose "
+                  "client has left is kept")
+{
+  Group& plain = cell.PlainServers();
+  CellRest rest;
+  rest.delay = milliseconds(20);
+  cell.Run([&] {
+    std::for_each(plain.begin() + 1, plain.end(), [](auto& aServer) {
+      aServer->Unregister();
+    });
+    plain.front()->SetRest(rest);
+  });
+  std::this_thread::sleep_for(seconds(1));
+  CellClient(cell.Gateways()[4].clientAddress)
+    .SendAndDisconnect(MakeRequest(cell, "/once/x"), milliseconds(10));
+  std::this_thread::sleep_for(seconds(1));
+  for (int sent = 0; sent < 6; ++sent) {
+    load.Send(MakeRequest(cell, "/once/x"), 4);
+  }
+  CHECK(RestsAsked() == 1);
+  CHECK(MostInRests() <= kMostInRest);
+}
+
 TEST_CASE_FIXTURE(ServerRestFixture,
                   "[ServerRest] misc/explain names the rests behind a refusal")
 {
