--- a/tests/cell/test_server_rest.cpp
+++ b/tests/cell/test_server_rest.cpp
@@ -249,7 +249,7 @@
   // Four steps of 50 ms, and one that may end the time.
   constexpr milliseconds kFirstSteps{ 200 };
   constexpr std::ptrdiff_t kMostInFirstSteps = 5;
-  constexpr int kWaiting = 24;
+  constexpr std::size_t kWaiting = 24;
   Group& plain = cell.PlainServers();
   cell.Run([&] {
     std::for_each(plain.begin() + 1, plain.end(), [](auto& aServer) {
@@ -259,7 +259,8 @@
   std::this_thread::sleep_for(seconds(1));
   RestAllPlain("0.6", milliseconds(600));
   std::vector<std::thread> clients;
-  for (int client = 0; client < kWaiting; ++client) {
+  clients.reserve(kWaiting);
+  for (std::size_t client = 0; client < kWaiting; ++client) {
     clients.emplace_back([this, request = MakeRequest(cell, "/once/x")] {
       load.Send(request, 4);
     });
