Read the refusal of a request whose client has just left

The connection is now kept for 30 ms, in which a server that turns a request away says so, and closed then.

--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -58,6 +58,8 @@
 constexpr std::size_t kMaxLoggedParts = 8;
 /** Held servers that are named in a log line. */
 constexpr std::size_t kMaxLoggedServers = 8;
+/** Time in which a server turns a request away: a round trip, and a margin. */
+constexpr Duration kRefusalTime = std::chrono::milliseconds(30);
 
 std::string JoinWithCommas(const std::vector<std::string>& aTexts)
 {
@@ -108,6 +110,7 @@
   , attempt_(aAttempt)
   , ticket_(aState.heldRequests.Draw(aAttempt.priority))
   , fetchTimer_(aState.loop)
+  , refusalTimer_(aState.loop)
 {
 }
 
@@ -446,7 +449,20 @@
       { "cached", aChoice.cachedTokens },
       { "left", attempt_.responseDeadline - Now().steady } });
   ReleaseInputsAfterFetch(aChoice);
+  // A server that turns a request away does so at once, and may say what binds
+  // later sends, although the client has left.
+  auto isSending = std::make_shared<bool>(true);
+  attempt_.cancellation.SetOnCancel([this, &exchange, isSending] {
+    refusalTimer_.expires_after(kRefusalTime);
+    refusalTimer_.async_wait([&exchange, isSending](boost::system::error_code) {
+      if (*isSending) {
+        exchange.Cancel();
+      }
+    });
+  });
   SendResult result = co_await ReadResponse(exchange, aChoice);
+  *isSending = false;
+  refusalTimer_.cancel();
   fetchTimer_.cancel();
   result.wasSent = true;
   attempt_.cancellation.ClearOnCancel();
@@ -483,6 +499,12 @@
                          isForThisAttempt ? ResponseAge::Current
                                           : ResponseAge::Late,
                          SendPath::Request);
+    if (attempt_.cancellation.IsCancelled()) {
+      co_return SendResult{
+        SendFailure::Lost, SendOutcome::Abandoned, "client-left", true
+      };
+    }
+    attempt_.cancellation.SetOnCancel([&aExchange] { aExchange.Cancel(); });
     if (!isForThisAttempt && skipped < kMaxSkippedResponses) {
       // A late second response to an earlier request; the one to this attempt
       // follows.
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -148,6 +148,7 @@
   std::uint64_t uncachedTokens_ = 0;           ///< Zero after the first part.
   std::optional<EdgeResponse> backendFailure_; ///< From a backend server.
   boost::asio::steady_timer fetchTimer_;
+  boost::asio::steady_timer refusalTimer_; ///< From the client's leaving on.
   /** Shared with timer callbacks, which may run after the destructor. */
   std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
   bool areInputsReleased_ = false; ///< Retries are no longer possible.
