Test that ends of servers which nobody notices are counted

Servers that fall silent, that end after the client has left, or that end again after all gateways were killed, count for no gateway.

--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -125,23 +125,75 @@
   PublishEntry("ready");
 }
 
-void CellReplica::Crash(milliseconds aDownTime)
+template<typename Function>
+void CellReplica::RunAfter(milliseconds aTime, Function aFunction)
+{
+  auto timer = std::make_shared<asio::steady_timer>(loop_, aTime);
+  timer->async_wait([timer, aFunction](boost::system::error_code aError) {
+    if (!aError) {
+      aFunction();
+    }
+  });
+}
+
+void CellReplica::Crash(milliseconds aDownTime, CellEnd aEnd)
 {
   if (isDown_) {
     return;
   }
   isDown_ = true;
   crashes_.push_back(Now().steady);
-  listeners_.back()->StopAccepting();
-  listeners_.back()->AbortAll();
-  auto timer = std::make_shared<asio::steady_timer>(loop_, aDownTime);
-  timer->async_wait([this, timer](boost::system::error_code aError) {
-    if (!aError) {
-      isDown_ = false;
-      Listen();
-      Restart();
+  if (aEnd == CellEnd::Closed) {
+    listeners_.back()->StopAccepting();
+    listeners_.back()->AbortAll();
+    RunAfter(aDownTime, [this] { ReturnAfterCrash(); });
+    return;
+  }
+  isSilent_ = true;
+  RunAfter(kEntryLifetime, [this, incarnation = incarnation_] {
+    if (incarnation == incarnation_) {
+      Unregister();
     }
   });
+  RunAfter(aDownTime, [this, aEnd] {
+    listeners_.back()->StopAccepting();
+    listeners_.back()->AbortAll();
+    if (aEnd == CellEnd::Renamed) {
+      Unregister();
+      const std::string first = id_.substr(0, id_.find('/'));
+      id_ = first + "/" + std::to_string(++renames_);
+    }
+    ReturnAfterCrash();
+  });
+}
+
+void CellReplica::ReturnAfterCrash()
+{
+  isDown_ = false;
+  isSilent_ = false;
+  Listen();
+  Restart();
+}
+
+asio::awaitable<void> CellReplica::EndUnderRequest()
+{
+  const std::uint64_t incarnation = incarnation_;
+  co_await Sleep(crash_.delay);
+  if (incarnation == incarnation_) {
+    Crash(crash_.downTime, crash_.end);
+  }
+  co_await AwaitLife();
+}
+
+asio::awaitable<void> CellReplica::AwaitLife()
+{
+  const std::uint64_t incarnation = incarnation_;
+  while (isSilent_ && incarnation == incarnation_) {
+    asio::steady_timer timer(loop_, milliseconds(20));
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
 }
 
 bool CellReplica::IsCrashedBy(const ClientConnection& aClient) const
@@ -160,6 +212,7 @@
                                            faults_.delayFactor)));
   boost::system::error_code ignored;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  co_await AwaitLife();
 }
 
 EdgeResponse CellReplica::SealedResponse(const ClientConnection& aClient,
@@ -265,6 +318,7 @@
                                incarnation_,
                                std::string(aClient->GetRequest().target()) };
     arrivals_.push_back(arrival);
+    co_await AwaitLife();
     while (faults_.isUnresponsive) {
       co_await Sleep(milliseconds(50));
     }
@@ -324,7 +378,7 @@
   RecordExecution(aClient);
   co_await Sleep(kServiceTime);
   if (IsCrashedBy(aClient)) {
-    Crash(crash_.downTime);
+    co_await EndUnderRequest();
     co_return false;
   }
   if (DrawFault(faults_.hang)) {
@@ -394,7 +448,7 @@
       co_await Sleep(milliseconds(50));
     }
     if (event > lastEventBeforeCrash && IsCrashedBy(aClient)) {
-      Crash(crash_.downTime);
+      co_await EndUnderRequest();
       co_return false;
     }
     while (faults_.isEndless && isOpen) {
@@ -438,7 +492,7 @@
   co_await Sleep(kBatchCallTime);
   --calls_;
   if (HasCrashingPiece(body)) {
-    Crash(crash_.downTime);
+    co_await EndUnderRequest();
     co_return false;
   }
   json::array items;
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -70,6 +70,17 @@
   Duration length{};
 };
 
+/** How the process of a replica ends. */
+enum class CellEnd
+{
+  Closed,  ///< Its connections are reset, new ones are refused.
+  Silent,  ///< Connections stay open, new ones are accepted, nothing is sent.
+  Renamed, ///< Silent, and starts again under another id.
+};
+
+/** Time after an end until the entry of a silent server is removed. */
+inline constexpr std::chrono::milliseconds kEntryLifetime{ 1'500 };
+
 /** What ends a replica which begins to respond to it. */
 struct CellCrash
 {
@@ -78,6 +89,8 @@
   std::chrono::milliseconds downTime{ 1'500 };
   std::string request{};  ///< Its body or its path; empty: no request does.
   std::string pieceKey{}; ///< Of a piece; empty: no piece does.
+  CellEnd end = CellEnd::Closed;
+  std::chrono::milliseconds delay{ 0 }; ///< Added to the service time.
 };
 
 /** Whether a prompt has this part, other than as its last one. */
@@ -133,8 +146,9 @@
   void SetVersion(std::string aVersion) { version_ = std::move(aVersion); }
   /** Starts a new incarnation under the same id, without any results. */
   void Restart();
-  /** Resets all connections, refuses new ones for some time, then restarts. */
-  void Crash(std::chrono::milliseconds aDownTime);
+  /** Ends for some time, then starts again as a new incarnation. */
+  void Crash(std::chrono::milliseconds aDownTime,
+             CellEnd aEnd = CellEnd::Closed);
   /** Unlike `Faults`, it is kept until it is set again. */
   void SetCrash(CellCrash aCrash) { crash_ = std::move(aCrash); }
   /** Names this limit in all later responses; empty: none. */
@@ -199,6 +213,14 @@
   std::string registeredAddress_;
   std::string version_ = "v1";
   void Listen();
+  void ReturnAfterCrash();
+  /** Runs a function on the loop after a time. */
+  template<typename Function>
+  void RunAfter(std::chrono::milliseconds aTime, Function aFunction);
+  /** Ends because of a request that has begun to run here. */
+  boost::asio::awaitable<void> EndUnderRequest();
+  /** Waits while the process is silent. */
+  boost::asio::awaitable<void> AwaitLife();
   bool IsCrashedBy(const ClientConnection& aClient) const;
   bool HasCrashingPiece(const boost::json::value& aCall) const;
 
@@ -213,6 +235,8 @@
   std::vector<CellArrival> arrivals_;
   std::vector<Instant> crashes_;
   bool isDown_ = false;
+  bool isSilent_ = false;
+  int renames_ = 0;
   std::mt19937_64 random_;
   std::uint64_t incarnation_; ///< Unix time of the start, in milliseconds.
   std::uint64_t seq_ = 0;
