--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -22,17 +22,46 @@
   return *aBefore == aAfter ? "" : "changed";
 }
 
+/** Servers that were started together have started within this time. */
+constexpr std::uint64_t kMaxStartSpreadMs = 2'500;
+constexpr std::uint64_t kRecentRestartMs = 60'000;
+/** A server that has crashed before returns a few seconds later. */
+constexpr std::uint64_t kReturnTimeMs = 4'000;
+
 } // namespace
 
+bool HadRestarts(const RegistrySnapshot& aRegistry, std::uint64_t aThenMs)
+{
+  std::map<std::string_view, std::uint64_t> oldest;
+  for (const RegistryChange& entry : aRegistry.entries) {
+    if (entry.record) {
+      const auto [found, isNew] =
+        oldest.emplace(entry.record->service, entry.record->startedMs);
+      found->second = std::min(found->second, entry.record->startedMs);
+    }
+  }
+  return std::ranges::any_of(
+    aRegistry.entries, [&](const RegistryChange& aEntry) {
+      if (!aEntry.record) {
+        return false;
+      }
+      const std::uint64_t startedMs = aEntry.record->startedMs;
+      return startedMs + kRecentRestartMs >= aThenMs &&
+             startedMs <= aThenMs + kReturnTimeMs &&
+             startedMs > oldest[aEntry.record->service] + kMaxStartSpreadMs;
+    });
+}
+
 RegistryEvent BackendRegistry::EventOf(std::string_view aId,
                                        std::string_view aKind,
-                                       const Entry& aEntry)
+                                       const Entry& aEntry) const
 {
-  RegistryEvent event{ std::string(aId), std::string(aKind), "", "", 0 };
+  RegistryEvent event{ std::string(aId), std::string(aKind), "", "", 0, false };
   if (aEntry.record) {
     event.startedMs = aEntry.record->startedMs;
     event.service = aEntry.record->service;
     event.version = aEntry.record->version;
+    event.wasLeaving = IsLeaving(*aEntry.record);
   }
   return event;
 }
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -66,8 +66,16 @@
   std::string service;
   std::string version; ///< Of the software; empty if the entry is unreadable.
   std::uint64_t startedMs = 0; ///< Zero if the entry is unreadable.
+  bool wasLeaving = false;     ///< It had said before that it leaves.
 };
 
+/**
+ * Whether servers of some service were started in the last minute before a
+ * time, or shortly after it, but well after the oldest one of the service: they
+ * may have crashed. `aThenMs` is Unix time in milliseconds.
+ */
+bool HadRestarts(const RegistrySnapshot& aRegistry, std::uint64_t aThenMs);
+
 /**
  * Backend servers by service, as published in the store.
  *
@@ -130,9 +138,9 @@
 
   using Incarnation = std::pair<std::string, std::uint64_t>;
 
-  static RegistryEvent EventOf(std::string_view aId,
-                               std::string_view aKind,
-                               const Entry& aEntry);
+  RegistryEvent EventOf(std::string_view aId,
+                        std::string_view aKind,
+                        const Entry& aEntry) const;
   void Rebuild();
   /** By the store's word or its own; only the next incarnation ends it. */
   bool IsLeaving(const BackendRecord& aBackend) const;
--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -59,7 +59,7 @@
   for (const auto& [key, crash] : crashes_) {
     const auto& [backend, startedMs, before] = key;
     if (backend == aBackend && startedMs == aStartedMs &&
-        crash.at < aOpenedAt) {
+        crash.at < aOpenedAt && !crash.wasSilent) {
       restarts = std::max(restarts, before + 1);
     }
   }
@@ -78,11 +78,26 @@
   }
   const Instant at = aNow - aCrash.age;
   Crash& crash = isKnown ? found->second : crashes_[key];
+  // What reached a server that had long fallen silent did not end it.
+  const bool isSilence = isKnown && crash.wasSilent && aCrash.wasSilent;
+  const bool isTooLate = isSilence && at >= crash.at + kCrashSpacing;
+  if (isSilence && crash.at >= at + kCrashSpacing) {
+    crash.positions.clear();
+  }
   crash.at = isKnown ? std::min(crash.at, at) : at;
   crash.version = aCrash.version;
-  bool isNew = !isKnown;
+  const bool isFirstProof = !isKnown || crash.proof < aCrash.proof;
+  bool isNew = isFirstProof;
+  if (aCrash.proof == EndProof::Confirmed) {
+    // A gateway that remembers longer knows better.
+    const bool isLifted = crash.isFleetNew && !aCrash.isFleetNew;
+    isNew |= isLifted;
+    crash.isFleetNew = aCrash.isFleetNew && (isFirstProof || crash.isFleetNew);
+  }
+  crash.proof = std::max(isKnown ? crash.proof : aCrash.proof, aCrash.proof);
+  crash.wasSilent |= aCrash.wasSilent;
   for (const RequestTrait& trait : aCrash.traits) {
-    if (crash.positions.size() < kMaxTraitsPerCrash) {
+    if (!isTooLate && crash.positions.size() < kMaxTraitsPerCrash) {
       isNew |= crash.positions.emplace(trait.name, trait.position).second;
     }
   }
@@ -101,9 +116,37 @@
            .second;
 }
 
+bool CrashEvidence::AddLife(const ServerLife& aLife, Instant aNow)
+{
+  const Instant at = aNow - aLife.age;
+  return std::erase_if(crashes_, [&](const auto& aItem) {
+           const auto& [backend, startedMs, before] = aItem.first;
+           return aItem.second.proof == EndProof::Suspected &&
+                  backend == aLife.backend && startedMs == aLife.startedMs &&
+                  aItem.second.at < at;
+         }) > 0;
+}
+
+bool CrashEvidence::IsSettledBy(std::string_view aBackend,
+                                std::uint64_t aStartedMs,
+                                Instant aOpenedAt,
+                                Instant aNow) const
+{
+  return std::ranges::any_of(crashes_, [&](const auto& aItem) {
+    const auto& [backend, startedMs, before] = aItem.first;
+    const Crash& crash = aItem.second;
+    // A connection that was opened later may lead to a restarted process.
+    return crash.proof == EndProof::Suspected && backend == aBackend &&
+           startedMs == aStartedMs && aOpenedAt <= crash.at && crash.at < aNow;
+  });
+}
+
 bool CrashEvidence::Add(const CrashReport& aReport, Instant aNow)
 {
   bool isNew = false;
+  for (const ServerLife& life : aReport.lives) {
+    isNew |= AddLife(life, aNow);
+  }
   for (const ServerCrash& crash : aReport.crashes) {
     isNew |= AddCrash(crash, aNow);
   }
@@ -139,7 +182,9 @@
   while (crashes_.size() > kMaxCrashes || traits > kMaxTraits) {
     const auto oldest =
       std::ranges::min_element(crashes_, {}, [](const auto& aItem) {
-        return std::pair(aItem.second.isExplained, aItem.second.at);
+        const Crash& crash = aItem.second;
+        return std::tuple(
+          crash.proof == EndProof::Confirmed, crash.isExplained, crash.at);
       });
     traits -= oldest->second.positions.size();
     crashes_.erase(oldest);
@@ -158,6 +203,9 @@
   const std::size_t before = crashes_.size();
   std::erase_if(crashes_, [&](const auto& aItem) {
     const Crash& crash = aItem.second;
+    if (crash.proof == EndProof::Suspected) {
+      return aNow - crash.at >= kSuspicionMemory;
+    }
     const bool isKept =
       std::ranges::any_of(crash.positions, [&](const auto& aTrait) {
         const auto verdict = verdicts_.find(aTrait.first);
@@ -180,43 +228,81 @@
   }
 }
 
-void CrashEvidence::Score::OnCrash(const Crash& aCrash, std::uint32_t aPosition)
+bool CrashEvidence::IsSingle(const Crash& aCrash) const
+{
+  return std::ranges::count_if(crashes_, [&](const auto& aItem) {
+           const Crash& other = aItem.second;
+           return other.proof == EndProof::Confirmed &&
+                  other.at > aCrash.at - kCrashSpacing &&
+                  other.at < aCrash.at + kCrashSpacing;
+         }) <= kMostSingleCrashes;
+}
+
+void CrashEvidence::Score::OnCrash(const Crash& aCrash,
+                                   std::uint32_t aPosition,
+                                   bool aIsSingle)
 {
   position = aPosition;
   const bool counts =
     countedAt.empty() || aCrash.at - countedAt.back() >= kCrashSpacing;
   if (counts) {
-    ++crashes;
-    ++crashesByVersion[aCrash.version];
     countedAt.push_back(aCrash.at);
+    counted.push_back({ aCrash.version, aCrash.proof, 1 });
+  } else if (!counted.empty()) {
+    counted.back().proof = std::max(counted.back().proof, aCrash.proof);
+  }
+  if (aCrash.isFleetNew && aIsSingle && aCrash.proof == EndProof::Confirmed &&
+      !counted.empty()) {
+    counted.back().weight = kCrashesToRefuse - 1;
+    heldUntil = aCrash.at + kNewFleetHold;
   }
 }
 
 void CrashEvidence::Score::OnSurvival(const Survival& aSurvival)
 {
   survivedVersions.insert(aSurvival.version);
-  const auto found = crashesByVersion.find(aSurvival.version);
-  if (found == crashesByVersion.end()) {
-    return;
-  }
-  --crashes;
-  if (--found->second == 0) {
-    crashesByVersion.erase(found);
+  const auto last = std::ranges::find(counted.rbegin(),
+                                      counted.rend(),
+                                      aSurvival.version,
+                                      &CountedCrash::version);
+  if (last != counted.rend()) {
+    counted.erase(std::next(last).base());
+    heldUntil = Instant{};
   }
 }
 
+std::size_t CrashEvidence::Score::Count(EndProof aProof) const
+{
+  return std::accumulate(counted.begin(),
+                         counted.end(),
+                         std::size_t{ 0 },
+                         [&](std::size_t aSum, const CountedCrash& aCrash) {
+                           return aSum +
+                                  (aCrash.proof == aProof ? aCrash.weight : 0);
+                         });
+}
+
 TraitVerdict CrashEvidence::Score::ToVerdict(TraitState aState) const
 {
-  TraitVerdict verdict{
-    aState, crashes,         countedAt.back(), RefusedUntil(countedAt),
-    {},     survivedVersions
-  };
-  for (const auto& [version, count] : crashesByVersion) {
-    verdict.crashedVersions.insert(version);
+  TraitVerdict verdict;
+  verdict.state = aState;
+  verdict.crashes = Count(EndProof::Confirmed);
+  verdict.silences = Count(EndProof::Suspected);
+  verdict.lastCrashAt = countedAt.back();
+  verdict.heldUntil = heldUntil;
+  verdict.refusedUntil = RefusedUntil(countedAt);
+  verdict.survivedVersions = survivedVersions;
+  for (const CountedCrash& crash : counted) {
+    verdict.crashedVersions.insert(crash.version);
   }
   return verdict;
 }
 
+bool TraitVerdict::MustAwaitProof() const
+{
+  return silences > 0 && crashes + silences >= CrashEvidence::kCrashesToRefuse;
+}
+
 std::map<std::string, CrashEvidence::Score, std::less<>>
 CrashEvidence::ScoreUnexplained() const
 {
@@ -247,7 +333,9 @@
     Score& score = scores[trait];
     for (const Event& event : list) {
       if (event.crash) {
-        score.OnCrash(*event.crash, event.crash->positions.find(trait)->second);
+        score.OnCrash(*event.crash,
+                      event.crash->positions.find(trait)->second,
+                      IsSingle(*event.crash));
       } else {
         score.OnSurvival(*event.survival);
       }
@@ -268,12 +356,14 @@
       std::ranges::max_element(scores, {}, [](const auto& aItem) {
         // The first traits of prompts are common to many requests, so that the
         // later of two equal ones is the likelier cause.
-        return std::pair(aItem.second.crashes, aItem.second.position);
+        return std::pair(aItem.second.Count(EndProof::Confirmed),
+                         aItem.second.position);
       });
     const bool isRefused =
-      best != scores.end() && best->second.crashes >= kCrashesToRefuse;
+      best != scores.end() &&
+      best->second.Count(EndProof::Confirmed) >= kCrashesToRefuse;
     for (const auto& [trait, score] : scores) {
-      if (score.crashes == 0 || (isRefused && trait != best->first)) {
+      if (score.counted.empty() || (isRefused && trait != best->first)) {
         continue;
       }
       verdicts_[trait] =
@@ -298,6 +388,9 @@
     return TraitState::Sound;
   }
   const TraitVerdict& verdict = found->second;
+  if (aNow < verdict.heldUntil) {
+    return TraitState::Refused;
+  }
   if (verdict.state == TraitState::Suspect || aNow >= verdict.refusedUntil) {
     return TraitState::Suspect;
   }
@@ -317,6 +410,9 @@
     std::tie(copy.backend, copy.startedMs, copy.unlistedRestarts) = key;
     copy.version = crash.version;
     copy.age = aNow - crash.at;
+    copy.proof = crash.proof;
+    copy.wasSilent = crash.wasSilent;
+    copy.isFleetNew = crash.isFleetNew;
     for (const auto& [trait, position] : crash.positions) {
       copy.traits.push_back({ trait, position });
     }
@@ -336,7 +432,10 @@
 {
   std::uint64_t digest = 0;
   for (const auto& [trait, verdict] : verdicts_) {
-    digest ^= HashOf(trait, verdict.crashes);
+    // Suspicions come and go, and are told at once.
+    if (verdict.crashes > 0) {
+      digest ^= HashOf(trait, verdict.crashes);
+    }
   }
   return digest;
 }
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -36,7 +36,14 @@
 /** Name of a part of a prompt, bounded in length; clients choose the ids. */
 std::string NameOfPart(std::string_view aId);
 
-/** The crash of one incarnation of a backend server. */
+/** How sure it is that an incarnation of a backend server has ended. */
+enum class EndProof
+{
+  Suspected, ///< It has been silent for a while, but may live.
+  Confirmed,
+};
+
+/** The crash of one incarnation of a backend server, or its silence. */
 struct ServerCrash
 {
   std::string backend;
@@ -47,10 +54,26 @@
   std::uint32_t unlistedRestarts = 0;
   /** Traits of the requests to which it was about to respond. */
   std::vector<RequestTrait> traits;
+  EndProof proof = EndProof::Confirmed;
+  /** It went on accepting connections, so that a new one shows no restart. */
+  bool wasSilent = false;
+  /** The gateways had started shortly before, and servers before them: earlier
+   * crashes may have been forgotten. */
+  bool isFleetNew = false;
 
   bool operator==(const ServerCrash&) const = default;
 };
 
+/** An incarnation of a backend server has responded, as it has not ended. */
+struct ServerLife
+{
+  std::string backend;
+  std::uint64_t startedMs = 0; ///< Identifies the incarnation.
+  Duration age{};              ///< Time since the response.
+
+  bool operator==(const ServerLife&) const = default;
+};
+
 /** A backend server that went on after it began to respond to a trait. */
 struct TraitSurvival
 {
@@ -68,6 +91,10 @@
 {
   std::vector<ServerCrash> crashes;
   std::vector<TraitSurvival> survivals;
+  std::vector<ServerLife> lives;
+  /** For how long the sender and those that it has learned from remember
+   * crashes; zero in reports of single events. */
+  Duration memoryAge{};
 
   bool operator==(const CrashReport&) const = default;
 };
@@ -85,11 +112,17 @@
 struct TraitVerdict
 {
   TraitState state = TraitState::Suspect;
-  std::size_t crashes = 0; ///< That no other trait explains.
+  std::size_t crashes = 0;  ///< That no other trait explains.
+  std::size_t silences = 0; ///< The same, of servers that may have ended.
   Instant lastCrashAt{};
+  /** Until then it is refused although a single crash speaks against it. */
+  Instant heldUntil{};
   Instant refusedUntil{}; ///< Of a refused trait.
   std::set<std::string, std::less<>> crashedVersions;
   std::set<std::string, std::less<>> survivedVersions;
+
+  /** Whether nothing may be sent until some of the silences are explained. */
+  bool MustAwaitProof() const;
 };
 
 /**
@@ -102,6 +135,13 @@
  * version. Of the traits that crashes have in common, the one with the most
  * crashes explains them, and they no longer count for the others.
  *
+ * A server that has been silent for a while is suspected to have ended until
+ * that is confirmed or it responds. Suspicions make a trait suspect, and enough
+ * of them stop it until they are settled, but they never refuse it.
+ *
+ * All gateways may start at once and forget what crashed servers before. For
+ * some time from then on, the crash of a single server holds its traits back.
+ *
  * Gateways exchange their reports; those that have the same ones agree.
  */
 class CrashEvidence
@@ -114,6 +154,15 @@
   /** Time after which a crash is forgotten, and after which a refused trait may
    * be tried again; it doubles with each try that crashes a server. */
   static constexpr Duration kMemory = std::chrono::minutes(10);
+  /** Time after which a suspicion that was never settled is dropped; longer
+   * than the registry takes to list an end, and a probe after it. */
+  static constexpr Duration kSuspicionMemory = std::chrono::seconds(8);
+  /** How long a fleet counts as new. */
+  static constexpr Duration kNewFleetTime = std::chrono::seconds(30);
+  /** Two gateways may send the same request before either knows of a crash. */
+  static constexpr std::ptrdiff_t kMostSingleCrashes = 2;
+  /** How long a single crash in a new fleet holds a trait back. */
+  static constexpr Duration kNewFleetHold = std::chrono::seconds(20);
   /** Versions that a trait has crashed until no other one may try it. */
   static constexpr std::size_t kMaxCrashedVersions = 3;
   static constexpr std::size_t kMaxCrashes = 256;
@@ -130,6 +179,12 @@
   /** Adds what is new and matters; false if nothing does. */
   bool Add(const CrashReport& aReport, Instant aNow);
   void Expire(Instant aNow);
+  /** Whether a response now, on a connection that was opened at a time, shows
+   * that a server lives which is suspected to have ended. */
+  bool IsSettledBy(std::string_view aBackend,
+                   std::uint64_t aStartedMs,
+                   Instant aOpenedAt,
+                   Instant aNow) const;
   /** How a trait stands at servers of a software version. */
   TraitState StateOf(std::string_view aTrait,
                      std::string_view aVersion,
@@ -153,6 +208,9 @@
     std::string version;
     Instant at{};
     std::map<std::string, std::uint32_t, std::less<>> positions; ///< By trait.
+    EndProof proof = EndProof::Confirmed;
+    bool wasSilent = false;
+    bool isFleetNew = false;
     bool isExplained = false; ///< By a refused trait.
   };
   struct Survival
@@ -161,23 +219,35 @@
     std::string version;
     Instant at{};
   };
+  /** One crash that counts for a trait, with those shortly after it. */
+  struct CountedCrash
+  {
+    std::string version;
+    EndProof proof = EndProof::Confirmed;
+    std::size_t weight = 1;
+  };
   /** Crashes that count for one trait. */
   struct Score
   {
-    std::size_t crashes = 0; ///< Sum of `crashesByVersion`.
     std::uint32_t position = 0;
     std::vector<Instant> countedAt;
-    /** After survivals have been taken off. */
-    std::map<std::string, std::size_t, std::less<>> crashesByVersion;
+    std::vector<CountedCrash> counted; ///< After survivals were taken off.
+    Instant heldUntil{};
     std::set<std::string, std::less<>> survivedVersions;
 
-    void OnCrash(const Crash& aCrash, std::uint32_t aPosition);
+    void OnCrash(const Crash& aCrash, std::uint32_t aPosition, bool aIsSingle);
     void OnSurvival(const Survival& aSurvival);
+    std::size_t Count(EndProof aProof) const;
     TraitVerdict ToVerdict(TraitState aState) const;
   };
 
   bool AddCrash(const ServerCrash& aCrash, Instant aNow);
   bool AddSurvival(const TraitSurvival& aSurvival, Instant aNow);
+  /** Drops the suspicions that a response has settled. */
+  bool AddLife(const ServerLife& aLife, Instant aNow);
+  /** Whether few servers crashed shortly before or after, so that they have not
+   * been lost together. */
+  bool IsSingle(const Crash& aCrash) const;
   void Judge();
   std::map<std::string, Score, std::less<>> ScoreUnexplained() const;
   void BoundMemory();
--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -40,6 +40,7 @@
   std::vector<ServiceWait> waits; ///< For the queues that it owns.
   std::vector<PrefixRead> reads;  ///< Recently sent by this gateway.
   std::uint64_t crashDigest = 0;  ///< See `CrashEvidence`.
+  Duration crashMemoryAge{};      ///< See `CrashReport`.
   std::vector<BackendLimit> limits;
   std::vector<LeavingBackend> leaving; ///< By their own word.
 };
--- a/core/gateway/trait_admission.cpp
+++ b/core/gateway/trait_admission.cpp
@@ -32,7 +32,8 @@
 /** A crash too soon after the last one would not count. */
 bool MustWait(const TraitVerdict& aVerdict, bool aIsTried, Instant aNow)
 {
-  return aIsTried || aNow < aVerdict.lastCrashAt + CrashEvidence::kCrashSpacing;
+  return aIsTried || aVerdict.MustAwaitProof() ||
+         aNow < aVerdict.lastCrashAt + CrashEvidence::kCrashSpacing;
 }
 
 } // namespace
@@ -56,7 +57,10 @@
   decision.trait = best.name;
   if (best.state == TraitState::Refused) {
     decision.step = TraitStep::Refuse;
-    decision.refusedUntil = verdicts.find(best.name)->second.refusedUntil;
+    const TraitVerdict& verdict = verdicts.find(best.name)->second;
+    decision.refusedUntil = verdict.state == TraitState::Refused
+                              ? verdict.refusedUntil
+                              : verdict.heldUntil;
     return decision;
   }
   std::ranges::copy_if(
--- a/drivers/edge/backend_pool.cpp
+++ b/drivers/edge/backend_pool.cpp
@@ -104,6 +104,17 @@
     });
 }
 
+bool BackendPool::HasIdleSince(std::string_view aAddress, Instant aAt) const
+{
+  const auto found = idle_.find(aAddress);
+  return found != idle_.end() &&
+         std::ranges::any_of(
+           found->second, [&](const BackendConnectionPtr& aConnection) {
+             return aConnection->isIdle && aConnection->openedAt <= aAt &&
+                    !HasUnexpectedInput(aConnection->stream.socket());
+           });
+}
+
 void BackendPool::CloseExpired(Instant aNow)
 {
   for (auto& [address, connections] : idle_) {
--- a/drivers/edge/backend_pool.h
+++ b/drivers/edge/backend_pool.h
@@ -82,6 +82,8 @@
                                                        Instant aDeadline);
   /** Keeps a connection for the next request, for at most `aIdleTime`. */
   void Release(BackendConnectionPtr aConnection, Duration aIdleTime);
+  /** Whether the server holds a connection open that existed at a time. */
+  bool HasIdleSince(std::string_view aAddress, Instant aAt) const;
   /** Closes the idle connections whose idle time has expired. */
   void CloseExpired(Instant aNow);
   void CloseAll();
--- a/drivers/edge/liveness_probe.cpp
+++ b/drivers/edge/liveness_probe.cpp
@@ -6,7 +6,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <array>
 #include <cstddef>
@@ -22,6 +27,22 @@
   return kNames[static_cast<std::size_t>(aLiveness)];
 }
 
+namespace {
+
+/** The server that was asked is not the one at the address. */
+constexpr unsigned kMisdirected = 421;
+
+/** What failing to connect shows. */
+Liveness LivenessOf(const boost::system::error_code& aConnectError)
+{
+  return aConnectError == asio::error::connection_refused ||
+             aConnectError == asio::error::connection_reset
+           ? Liveness::Gone
+           : Liveness::Silent;
+}
+
+} // namespace
+
 asio::awaitable<Liveness> ProbeLiveness(asio::any_io_executor aExecutor,
                                         std::string aAddress)
 {
@@ -35,10 +56,7 @@
   co_await stream.async_connect(
     *endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    co_return error == asio::error::connection_refused ||
-        error == asio::error::connection_reset
-      ? Liveness::Gone
-      : Liveness::Silent;
+    co_return LivenessOf(error);
   }
   std::array<char, 1> byte{};
   stream.expires_after(kEndTimeout);
@@ -48,4 +66,35 @@
                                                      : Liveness::Gone;
 }
 
+asio::awaitable<Liveness> ProbeResponse(asio::any_io_executor aExecutor,
+                                        std::string aAddress,
+                                        ProbeRequest aRequest)
+{
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    co_return Liveness::Gone;
+  }
+  beast::tcp_stream stream(aExecutor);
+  boost::system::error_code error;
+  stream.expires_after(kConnectTimeout);
+  co_await stream.async_connect(
+    *endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return LivenessOf(error);
+  }
+  stream.expires_after(kAnswerTimeout);
+  co_await beast::http::async_write(
+    stream, aRequest, asio::redirect_error(asio::use_awaitable, error));
+  beast::flat_buffer buffer;
+  beast::http::response_parser<beast::http::empty_body> parser;
+  co_await beast::http::async_read_header(
+    stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  if (error) {
+    co_return error == beast::error::timeout ? Liveness::Silent
+                                             : Liveness::Gone;
+  }
+  co_return parser.get().result_int() == kMisdirected ? Liveness::Gone
+                                                      : Liveness::Alive;
+}
+
 } // namespace gypsum
--- a/drivers/edge/liveness_probe.h
+++ b/drivers/edge/liveness_probe.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <string>
 #include <string_view>
@@ -29,9 +31,25 @@
   boost::asio::any_io_executor aExecutor,
   std::string aAddress);
 
+using ProbeRequest =
+  boost::beast::http::request<boost::beast::http::string_body>;
+
+/**
+ * Sends a request on a new connection; any response shows that the server
+ * lives, except that of another server at its address (421).
+ *
+ * Returns within `kConnectTimeout` + `kAnswerTimeout`.
+ */
+boost::asio::awaitable<Liveness> ProbeResponse(
+  boost::asio::any_io_executor aExecutor,
+  std::string aAddress,
+  ProbeRequest aRequest);
+
 /** Several round trips between availability zones. */
 inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 /** Time in which a process that is ending closes an accepted connection. */
 inline constexpr Duration kEndTimeout = std::chrono::milliseconds(30);
+/** Time in which a busy server answers a request that it does not execute. */
+inline constexpr Duration kAnswerTimeout = std::chrono::milliseconds(1'000);
 
 } // namespace gypsum
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -160,6 +160,7 @@
     }
   }
   to.set_crash_digest(aFrom.crashDigest);
+  to.set_crash_memory_age_us(aFrom.crashMemoryAge.count());
   for (const BackendLimit& limit : aFrom.limits) {
     Fill(*to.add_limits(), limit);
   }
@@ -317,6 +318,9 @@
     crash.set_software_version(from.version);
     crash.set_age_us(from.age.count());
     crash.set_unlisted_restarts(from.unlistedRestarts);
+    crash.set_is_suspected(from.proof == EndProof::Suspected);
+    crash.set_was_silent(from.wasSilent);
+    crash.set_is_fleet_new(from.isFleetNew);
     for (const RequestTrait& trait : from.traits) {
       proto::RequestTrait& copy = *crash.add_traits();
       copy.set_name(trait.name);
@@ -331,6 +335,13 @@
     survival.set_number(from.number);
     survival.set_age_us(from.age.count());
   }
+  for (const ServerLife& from : aFrom.lives) {
+    proto::ServerLife& life = *to.add_lives();
+    life.set_backend(from.backend);
+    life.set_started_ms(from.startedMs);
+    life.set_age_us(from.age.count());
+  }
+  to.set_memory_age_us(aFrom.memoryAge.count());
 }
 
 void FillBody(proto::Envelope& aTo, const CrashReportRequest& /*aFrom*/)
@@ -592,6 +603,7 @@
     status.reads.push_back(std::move(read));
   }
   status.crashDigest = aFrom.crash_digest();
+  status.crashMemoryAge = ReadAge(aFrom.crash_memory_age_us());
   for (const proto::BackendLimit& limit : aFrom.limits()) {
     status.limits.push_back(Read(limit));
   }
@@ -691,6 +703,10 @@
     ServerCrash crash{ from.backend(),           from.started_ms(),
                        from.software_version(),  ReadAge(from.age_us()),
                        from.unlisted_restarts(), {} };
+    crash.proof =
+      from.is_suspected() ? EndProof::Suspected : EndProof::Confirmed;
+    crash.wasSilent = from.was_silent();
+    crash.isFleetNew = from.is_fleet_new();
     for (const proto::RequestTrait& trait : from.traits()) {
       crash.traits.push_back({ trait.name(), trait.position() });
     }
@@ -703,6 +719,11 @@
                                  from.number(),
                                  ReadAge(from.age_us()) });
   }
+  for (const proto::ServerLife& from : aFrom.lives()) {
+    report.lives.push_back(
+      { from.backend(), from.started_ms(), ReadAge(from.age_us()) });
+  }
+  report.memoryAge = ReadAge(aFrom.memory_age_us());
   return report;
 }
 
--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -8,8 +8,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 
 namespace gypsum {
 
@@ -17,11 +15,12 @@
 
 namespace {
 
-/** Time after the first event until a server has survived a request. */
-constexpr Duration kSurvivalTime = std::chrono::milliseconds(300);
-/** The registry lists a crashed server as gone or restarted after a few of its
- * heartbeats. */
-constexpr Duration kConfirmationTime = std::chrono::seconds(6);
+/** Time after a client has left until its server is probed: servers drop most
+ * of such requests, and end under the others soon. */
+constexpr Duration kClientLeftProbeDelay = std::chrono::milliseconds(300);
+/** Longer pauses between two looks for silent servers are those of this
+ * process. */
+constexpr Duration kMaxExpireGap = std::chrono::milliseconds(400);
 
 } // namespace
 
@@ -35,95 +34,138 @@
   return std::make_shared<const RequestTraits>(std::move(traits));
 }
 
-CrashDetector::BackendKey CrashDetector::KeyOf(const BackendRecord& aBackend)
-{
-  return { aBackend.id, aBackend.startedMs };
-}
-
 void CrashDetector::OnSent(SendNumber aNumber,
                            BackendPtr aBackend,
                            std::shared_ptr<const RequestTraits> aTraits)
 {
-  Send& send = sends_[aNumber];
-  send.backend = std::move(aBackend);
-  send.traits = std::move(aTraits);
+  sends_.Add(aNumber, std::move(aBackend), std::move(aTraits));
 }
 
 void CrashDetector::OnConnected(SendNumber aNumber, Instant aOpenedAt)
 {
-  const auto found = sends_.find(aNumber);
-  if (found != sends_.end()) {
-    found->second.openedAt = aOpenedAt;
-  }
+  sends_.OnConnected(aNumber, aOpenedAt, Now().steady);
 }
 
 void CrashDetector::OnEvents(SendNumber aNumber, bool aIsComplete)
 {
-  const auto found = sends_.find(aNumber);
-  if (found == sends_.end()) {
+  const UnansweredSends::Sent sent = sends_.Find(aNumber);
+  if (!sent.backend) {
     return;
   }
-  Send& send = found->second;
-  const Instant now = Now().steady;
-  if (send.firstEventAt == Instant{}) {
-    send.firstEventAt = now;
+  const bool hasSurvived = sends_.OnEvents(aNumber, aIsComplete, Now().steady);
+  handlers_.onResponse(*sent.backend, sent.openedAt);
+  if (hasSurvived) {
+    handlers_.onSurvival(*sent.backend, *sent.traits);
+    handlers_.onEnd(aNumber);
   }
-  if (aIsComplete || now - send.firstEventAt >= kSurvivalTime) {
-    handlers_.onSurvival(*send.backend, *send.traits);
+  if (aIsComplete) {
     OnEnded(aNumber);
   }
 }
 
+void CrashDetector::OnRejected(SendNumber aNumber)
+{
+  const UnansweredSends::Sent sent = sends_.Find(aNumber);
+  if (sent.backend) {
+    sends_.OnResponse(*sent.backend, sent.openedAt, Now().steady);
+    handlers_.onResponse(*sent.backend, sent.openedAt);
+  }
+  OnEnded(aNumber);
+}
+
 void CrashDetector::OnEnded(SendNumber aNumber)
 {
-  if (sends_.erase(aNumber) > 0) {
+  if (sends_.Find(aNumber).backend) {
+    sends_.Remove(aNumber);
     handlers_.onEnd(aNumber);
   }
 }
 
+bool CrashDetector::IsLeaving(const BackendRecord& aBackend) const
+{
+  // One that is asked has not said that it leaves, or did not survive it.
+  return handlers_.isLeaving(aBackend) &&
+         !asked_.contains(UnansweredSends::IncarnationOf(aBackend));
+}
+
+void CrashDetector::StartProbe(const BackendPtr& aBackend)
+{
+  auto& probe = probes_[UnansweredSends::IncarnationOf(*aBackend)];
+  if (!probe) {
+    probe = std::make_shared<asio::steady_timer>(
+      loop_, asio::steady_timer::time_point::max());
+    asio::co_spawn(loop_, Probe(aBackend), asio::detached);
+  }
+}
+
 void CrashDetector::OnBroken(SendNumber aNumber)
 {
-  const auto found = sends_.find(aNumber);
-  if (found == sends_.end()) {
+  const UnansweredSends::Sent sent = sends_.Find(aNumber);
+  if (!sent.isOpen || IsLeaving(*sent.backend)) {
+    OnEnded(aNumber);
     return;
   }
-  Send& send = found->second;
-  if (handlers_.isLeaving(*send.backend)) {
+  sends_.OnBroken(aNumber, Now().steady);
+  StartProbe(sent.backend);
+}
+
+void CrashDetector::OnTimedOut(SendNumber aNumber)
+{
+  const UnansweredSends::Sent sent = sends_.Find(aNumber);
+  if (!sent.isOpen || IsLeaving(*sent.backend)) {
     OnEnded(aNumber);
     return;
   }
-  send.brokenAt = Now().steady;
-  auto& probe = probes_[KeyOf(*send.backend)];
-  if (!probe) {
-    probe = std::make_shared<asio::steady_timer>(
-      loop_, asio::steady_timer::time_point::max());
-    asio::co_spawn(loop_, Probe(send.backend), asio::detached);
+  sends_.OnGivenUp(aNumber, Now().steady);
+  StartProbe(sent.backend);
+}
+
+void CrashDetector::OnClientLeft(SendNumber aNumber)
+{
+  const UnansweredSends::Sent sent = sends_.Find(aNumber);
+  if (!sent.isOpen || IsLeaving(*sent.backend)) {
+    OnEnded(aNumber);
+    return;
   }
+  OnEnded(aNumber);
+}
+
+asio::awaitable<void> CrashDetector::ProbeAfterClientLeft(SendNumber aNumber,
+                                                          BackendPtr aBackend)
+{
+  const Instant leftAt = Now().steady;
+  asio::steady_timer timer(loop_, kClientLeftProbeDelay);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  // A response may have shown meanwhile that the server goes on.
+  const bool isOpen = sends_.Find(aNumber).isOpen;
+  if (isOpen && !handlers_.hasConnection(*aBackend, leftAt)) {
+    StartProbe(aBackend);
+    co_await AwaitProbe(aBackend);
+  }
+  handlers_.onEnd(aNumber);
 }
 
 asio::awaitable<void> CrashDetector::Probe(BackendPtr aBackend)
 {
-  const BackendKey key = KeyOf(*aBackend);
+  const BackendKey key = UnansweredSends::IncarnationOf(*aBackend);
   const Liveness liveness =
     co_await ProbeLiveness(loop_.get_executor(), aBackend->address);
   handlers_.onProbe(liveness);
   const auto probe = probes_.find(key);
   probe->second->cancel();
   probes_.erase(probe);
-  for (auto& [number, send] : sends_) {
-    if (send.IsBroken() && KeyOf(*send.backend) == key) {
-      send.liveness = liveness;
-      handlers_.onEnd(number);
-    }
+  for (const SendNumber number : sends_.EndedAt(key)) {
+    handlers_.onEnd(number);
   }
-  if (liveness == Liveness::Gone) {
-    ReportCrash(key, "refuses-connections");
+  if (liveness == Liveness::Gone && !IsLeaving(*aBackend)) {
+    ReportCrash(key, "refuses-connections", false);
   }
 }
 
 asio::awaitable<void> CrashDetector::AwaitProbe(BackendPtr aBackend)
 {
-  const auto running = probes_.find(KeyOf(*aBackend));
+  const auto running = probes_.find(UnansweredSends::IncarnationOf(*aBackend));
   if (running == probes_.end()) {
     co_return;
   }
@@ -133,71 +175,76 @@
     asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> CrashDetector::Ask(BackendPtr aBackend,
+                                         std::string_view aEvidence)
+{
+  const BackendKey key = UnansweredSends::IncarnationOf(*aBackend);
+  if (!asked_.insert(key).second) {
+    co_return;
+  }
+  const Instant askedAt = Now().steady;
+  ProbeRequest question = handlers_.makeQuestion(*aBackend);
+  const Liveness liveness = co_await ProbeResponse(
+    loop_.get_executor(), aBackend->address, std::move(question));
+  asked_.erase(key);
+  handlers_.onProbe(liveness);
+  if (liveness == Liveness::Alive) {
+    sends_.OnResponse(*aBackend, askedAt, Now().steady);
+    co_return;
+  }
+  ReportCrash(key, aEvidence, liveness == Liveness::Silent);
+}
+
 void CrashDetector::ReportCrash(const BackendKey& aKey,
-                                std::string_view aEvidence)
+                                std::string_view aEvidence,
+                                bool aWasSilent)
 {
-  Crash crash;
-  crash.crash.backend = aKey.first;
-  crash.crash.startedMs = aKey.second;
-  crash.evidence = aEvidence;
-  const Instant now = Now().steady;
-  std::vector<SendNumber> ended;
-  for (const auto& [number, send] : sends_) {
-    if (KeyOf(*send.backend) != aKey) {
-      continue;
-    }
-    ++crash.requests;
-    crash.crash.version = send.backend->version;
-    if (send.IsBroken()) {
-      crash.crash.age =
-        std::max(crash.crash.age, Duration(now - send.brokenAt));
-      crash.openedAt = std::max(crash.openedAt, send.openedAt);
-      ended.push_back(number);
-    }
-    std::ranges::copy(*send.traits, std::back_inserter(crash.crash.traits));
+  NoticedEnd end = sends_.EndOf(aKey, Now().steady);
+  end.crash.wasSilent = aWasSilent;
+  for (const SendNumber number : sends_.EndedAt(aKey)) {
+    OnEnded(number);
   }
-  std::ranges::for_each(ended,
-                        [this](SendNumber aNumber) { OnEnded(aNumber); });
-  if (crash.requests > 0) {
-    handlers_.onCrash(crash);
+  if (end.requests > 0) {
+    handlers_.onCrash(end, aEvidence);
   }
 }
 
+void CrashDetector::OnPeerResponse(const BackendKey& aServer, Instant aAt)
+{
+  sends_.OnPeerResponse(aServer, aAt);
+}
+
 void CrashDetector::OnRestarted(std::string_view aBackend,
                                 std::uint64_t aStartedMs)
 {
-  std::set<BackendKey> crashed;
-  for (const auto& [number, send] : sends_) {
-    if (send.backend->id == aBackend && send.backend->startedMs != aStartedMs) {
-      crashed.insert(KeyOf(*send.backend));
+  for (const BackendPtr& server : sends_.ServersById(aBackend)) {
+    if (server->startedMs != aStartedMs) {
+      ReportCrash(UnansweredSends::IncarnationOf(*server), "restarted", false);
     }
   }
-  for (const BackendKey& key : crashed) {
-    ReportCrash(key, "restarted");
-  }
 }
 
-void CrashDetector::OnRemoved(std::string_view aBackend)
+void CrashDetector::OnRemoved(std::string_view aBackend, bool aHadAnnounced)
 {
-  std::set<BackendKey> crashed;
-  for (const auto& [number, send] : sends_) {
-    if (send.backend->id == aBackend && send.IsBroken() &&
-        send.liveness == Liveness::Silent) {
-      crashed.insert(KeyOf(*send.backend));
-    }
+  if (aHadAnnounced) {
+    return;
   }
-  for (const BackendKey& key : crashed) {
-    ReportCrash(key, "removed");
+  for (const BackendPtr& server : sends_.ServersById(aBackend)) {
+    asio::co_spawn(loop_, Ask(server, "removed"), asio::detached);
   }
 }
 
 void CrashDetector::Expire()
 {
   const Instant now = Now().steady;
-  std::erase_if(sends_, [&](const auto& aItem) {
-    return aItem.second.IsBroken() &&
-           now - aItem.second.brokenAt >= kConfirmationTime;
-  });
+  if (now - lastExpiredAt_ > kMaxExpireGap) {
+    sends_.OnOwnPause(now);
+  }
+  lastExpiredAt_ = now;
+  for (const NoticedEnd& silence : sends_.TakeSilences(now)) {
+    handlers_.onSilence(silence);
+  }
+  sends_.Expire(now);
 }
 
 } // namespace gypsum
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "core/gateway/backend_registry.h"
-#include "core/gateway/crash_evidence.h"
+#include "core/gateway/unanswered_sends.h"
 #include "drivers/edge/liveness_probe.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -12,15 +11,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 namespace gypsum {
 
-using RequestTraits = std::vector<RequestTrait>;
-
 /** Traits of a request whose prompt does not matter; none if it has no name. */
 std::shared_ptr<const RequestTraits> TraitsOfRequest(
   const std::string& aRequestName);
@@ -29,23 +26,21 @@
  * Notices when backend servers crash or survive, and on which traits of
  * requests.
  *
- * A broken connection alone is no crash: the server must refuse a new
- * connection, or the registry must list a new incarnation of it.
+ * Neither a broken connection nor silence alone is a crash: the server must
+ * refuse a new connection, the registry must list a new incarnation of it, or
+ * it must leave a question unanswered after the registry has removed it or
+ * after a long silence. A server that has said that it leaves doesn't crash.
  */
 class CrashDetector
 {
 public:
-  using SendNumber = std::uint64_t;
+  using SendNumber = UnansweredSends::Number;
 
-  struct Crash
-  {
-    ServerCrash crash;
-    std::string_view evidence; ///< How it became known.
-    std::size_t requests = 0;  ///< Without a settled response.
-    /** When the last connection was opened that broke with the server. */
-    Instant openedAt{};
-  };
-  using CrashHandler = std::function<void(const Crash&)>;
+  /** The second argument is the evidence. */
+  using CrashHandler = std::function<void(const NoticedEnd&, std::string_view)>;
+  using SilenceHandler = std::function<void(const NoticedEnd&)>;
+  /** A server has responded on a connection that was opened at a time. */
+  using ResponseHandler = std::function<void(const BackendRecord&, Instant)>;
   using SurvivalHandler =
     std::function<void(const BackendRecord&, const RequestTraits&)>;
   /** A send has survived, has ended, or its server was probed. */
@@ -53,14 +48,22 @@
   using ProbeHandler = std::function<void(Liveness)>;
   /** Whether a server is about to leave as announced, or has left. */
   using LeavingCheck = std::function<bool(const BackendRecord&)>;
+  /** Whether a connection to a server that was opened before a time is open. */
+  using ConnectionCheck = std::function<bool(const BackendRecord&, Instant)>;
+  /** A request that each server answers at once, and none executes. */
+  using QuestionMaker = std::function<ProbeRequest(const BackendRecord&)>;
 
   struct Handlers
   {
     CrashHandler onCrash;
+    SilenceHandler onSilence;
+    ResponseHandler onResponse;
     SurvivalHandler onSurvival;
     EndHandler onEnd;
     ProbeHandler onProbe;
     LeavingCheck isLeaving;
+    ConnectionCheck hasConnection;
+    QuestionMaker makeQuestion;
   };
 
   CrashDetector(boost::asio::io_context& aLoop, Handlers aHandlers)
@@ -76,47 +79,58 @@
   void OnConnected(SendNumber aNumber, Instant aOpenedAt);
   /** The response goes on; `aIsComplete` at its end. */
   void OnEvents(SendNumber aNumber, bool aIsComplete);
-  /** The connection broke or the server fell silent; starts a probe, unless the
-   * server leaves: its end is none of the requests' doing. */
+  /** The server has turned the request away. */
+  void OnRejected(SendNumber aNumber);
+  /** The server has ended the connection; starts a probe, unless the server
+   * leaves: its end is none of the requests' doing. */
   void OnBroken(SendNumber aNumber);
+  /** The server did not respond in time; starts a probe likewise. */
+  void OnTimedOut(SendNumber aNumber);
+  /** The client has left. The server may still work on the request, and is
+   * probed a while later. */
+  void OnClientLeft(SendNumber aNumber);
   /** The send has ended and says nothing of the server. */
   void OnEnded(SendNumber aNumber);
   /** Waits for the end of a probe of the server, if one runs. */
   boost::asio::awaitable<void> AwaitProbe(BackendPtr aBackend);
 
+  /** The server has responded to another gateway. */
+  void OnPeerResponse(const UnansweredSends::Incarnation& aServer, Instant aAt);
   /** The registry lists a new incarnation of the server. */
   void OnRestarted(std::string_view aBackend, std::uint64_t aStartedMs);
-  /** The registry no longer lists the server, which may only be leaving. */
-  void OnRemoved(std::string_view aBackend);
-  /** Forgets what is old; call it several times a second. */
+  /** The registry no longer lists the server, which may go on for a while;
+   * `aHadAnnounced` if it had said that it leaves. */
+  void OnRemoved(std::string_view aBackend, bool aHadAnnounced);
+  /** Looks for silent servers and forgets what is old; call it several times a
+   * second. */
   void Expire();
 
 private:
-  using BackendKey = std::pair<std::string, std::uint64_t>;
-
-  /** A send to which the server may only be about to respond. */
-  struct Send
-  {
-    BackendPtr backend;
-    std::shared_ptr<const RequestTraits> traits;
-    Instant openedAt{}; ///< Of its connection; zero without one.
-    Instant firstEventAt{};
-    Instant brokenAt{};                  ///< Zero while the send runs.
-    Liveness liveness = Liveness::Alive; ///< After it broke.
-
-    bool IsBroken() const { return brokenAt != Instant{}; }
-  };
+  using BackendKey = UnansweredSends::Incarnation;
 
-  static BackendKey KeyOf(const BackendRecord& aBackend);
+  /** Starts a probe, unless one runs. */
+  void StartProbe(const BackendPtr& aBackend);
+  /** Whether the end of a send to the server says nothing, as it leaves. */
+  bool IsLeaving(const BackendRecord& aBackend) const;
   boost::asio::awaitable<void> Probe(BackendPtr aBackend);
+  boost::asio::awaitable<void> ProbeAfterClientLeft(SendNumber aNumber,
+                                                    BackendPtr aBackend);
+  /** Asks a server that is not known to live; reports its crash if it does not
+   * answer. */
+  boost::asio::awaitable<void> Ask(BackendPtr aBackend,
+                                   std::string_view aEvidence);
   /** Reports the crash with the traits of all sends that it may concern. */
-  void ReportCrash(const BackendKey& aKey, std::string_view aEvidence);
+  void ReportCrash(const BackendKey& aKey,
+                   std::string_view aEvidence,
+                   bool aWasSilent);
 
   boost::asio::io_context& loop_;
   Handlers handlers_;
-  std::map<SendNumber, Send> sends_;
+  UnansweredSends sends_;
+  Instant lastExpiredAt_{};
   /** Probes under way; each timer is cancelled at the end. */
   std::map<BackendKey, std::shared_ptr<boost::asio::steady_timer>> probes_;
+  std::set<BackendKey> asked_; ///< Without an answer yet.
 };
 
 } // namespace gypsum
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/crash_service.h"
 
 #include "drivers/clock.h"
+#include "platform/client_request.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -49,24 +50,39 @@
   : state_(aState)
   , peers_(aPeers)
   , detector_(aState.loop, MakeHandlers())
+  , rememberedSince_(Now().steady)
   , random_(static_cast<std::uint_fast32_t>(aState.self.incarnation))
 {
 }
 
 CrashDetector::Handlers CrashService::MakeHandlers()
 {
-  return { [this](const CrashDetector::Crash& aCrash) { OnCrash(aCrash); },
-           [this](const BackendRecord& aBackend, const RequestTraits& aTraits) {
-             OnSurvival(aBackend, aTraits);
-           },
-           [this](SendNumber aNumber) { EndTrial(aNumber); },
-           [this](Liveness aLiveness) {
-             state_.metrics.Count(
-               "liveness_probes", "result", NameOf(aLiveness));
-           },
-           [this](const BackendRecord& aBackend) {
-             return !state_.registry.IsUsable(aBackend);
-           } };
+  CrashDetector::Handlers handlers;
+  handlers.onCrash = [this](const NoticedEnd& aEnd,
+                            std::string_view aEvidence) {
+    OnCrash(aEnd, aEvidence);
+  };
+  handlers.onSilence = [this](const NoticedEnd& aEnd) { OnSilence(aEnd); };
+  handlers.onResponse = [this](const BackendRecord& aBackend,
+                               Instant aOpenedAt) {
+    OnResponse(aBackend, aOpenedAt);
+  };
+  handlers.onSurvival = [this](const BackendRecord& aBackend,
+                               const RequestTraits& aTraits) {
+    OnSurvival(aBackend, aTraits);
+  };
+  handlers.onEnd = [this](SendNumber aNumber) { EndTrial(aNumber); };
+  handlers.onProbe = [this](Liveness aLiveness) {
+    state_.metrics.Count("liveness_probes", "result", NameOf(aLiveness));
+  };
+  handlers.isLeaving = [this](const BackendRecord& aBackend) {
+    return !state_.registry.IsUsable(aBackend);
+  };
+  handlers.hasConnection = [this](const BackendRecord& aBackend, Instant aAt) {
+    return state_.pool.HasIdleSince(aBackend.address, aAt);
+  };
+  handlers.makeQuestion = ToLivenessQuestion;
+  return handlers;
 }
 
 template<typename Body>
@@ -187,24 +203,88 @@
   }
 }
 
-void CrashService::OnCrash(const CrashDetector::Crash& aCrash)
+bool CrashService::IsFleetNew() const
 {
-  CrashReport report{ { aCrash.crash }, {} };
-  ServerCrash& crash = report.crashes.front();
+  const ClockReading now = Now();
+  const Duration age = now.steady - rememberedSince_;
+  const auto startedMs =
+    now.wall.time_since_epoch() -
+    std::chrono::duration_cast<std::chrono::milliseconds>(age);
+  return age < CrashEvidence::kNewFleetTime &&
+         HadRestarts(state_.registry.Snapshot(),
+                     static_cast<std::uint64_t>(startedMs.count()));
+}
+
+void CrashService::AdoptMemory(Duration aAge)
+{
+  rememberedSince_ = std::min(rememberedSince_, Now().steady - aAge);
+}
+
+void CrashService::LogEnd(std::string_view aEvent,
+                          const NoticedEnd& aEnd,
+                          std::string_view aEvidence)
+{
+  state_.log.Write(LogClass::StateChange,
+                   aEvent,
+                   { { "backend", aEnd.crash.backend },
+                     { "software", aEnd.crash.version },
+                     { "evidence", aEvidence },
+                     { "age", aEnd.crash.age },
+                     { "unlisted-restarts", aEnd.crash.unlistedRestarts },
+                     { "starting", aEnd.requests },
+                     { "given-up", aEnd.givenUp },
+                     { "memory", Now().steady - rememberedSince_ },
+                     { "traits", NamesOf(aEnd.crash.traits) } });
+}
+
+void CrashService::OnCrash(const NoticedEnd& aEnd, std::string_view aEvidence)
+{
+  NoticedEnd end = aEnd;
+  ServerCrash& crash = end.crash;
   crash.unlistedRestarts =
-    evidence_.RestartsBefore(crash.backend, crash.startedMs, aCrash.openedAt);
+    evidence_.RestartsBefore(crash.backend, crash.startedMs, end.openedAt);
+  const CrashReport report{ { crash }, {}, {}, {} };
   if (!AddReport(report, "own")) {
     return;
   }
-  state_.metrics.Count("backend_crashes", "evidence", aCrash.evidence);
-  state_.log.Write(LogClass::StateChange,
-                   "backend-crashed",
-                   { { "backend", aCrash.crash.backend },
-                     { "software", aCrash.crash.version },
-                     { "evidence", aCrash.evidence },
-                     { "unlisted-restarts", crash.unlistedRestarts },
-                     { "starting", aCrash.requests },
-                     { "traits", NamesOf(aCrash.crash.traits) } });
+  state_.metrics.Count("backend_crashes", "evidence", aEvidence);
+  LogEnd("backend-crashed", end, aEvidence);
+  Broadcast(report);
+}
+
+void CrashService::OnSilence(const NoticedEnd& aSilence)
+{
+  const Instant now = Now().steady;
+  NoticedEnd silence = aSilence;
+  ServerCrash& crash = silence.crash;
+  std::erase_if(crash.traits, [&](const RequestTrait& aTrait) {
+    return survivals_.HasSince(
+      SurvivalName(aTrait.name, crash.version), Instant{}, now);
+  });
+  crash.unlistedRestarts =
+    evidence_.RestartsBefore(crash.backend, crash.startedMs, silence.openedAt);
+  if (crash.traits.empty()) {
+    return;
+  }
+  state_.metrics.Count("backend_silences", "", "");
+  LogEnd("backend-silent", silence, "silent");
+}
+
+void CrashService::OnResponse(const BackendRecord& aBackend, Instant aOpenedAt)
+{
+  const bool isSettled = evidence_.IsSettledBy(
+    aBackend.id, aBackend.startedMs, aOpenedAt, Now().steady);
+  if (!isSettled) {
+    return;
+  }
+  const CrashReport report{
+    {}, {}, { { aBackend.id, aBackend.startedMs, Duration{} } }, {}
+  };
+  AddReport(report, "own");
+  state_.log.Write(
+    LogClass::StateChange,
+    "backend-silence-over",
+    { { "backend", aBackend.id }, { "software", aBackend.version } });
   Broadcast(report);
 }
 
@@ -213,6 +293,9 @@
 {
   const Instant now = Now().steady;
   const auto before = evidence_.Verdicts();
+  for (const ServerLife& life : aReport.lives) {
+    detector_.OnPeerResponse({ life.backend, life.startedMs }, now - life.age);
+  }
   if (!evidence_.Add(aReport, now)) {
     return false;
   }
@@ -290,6 +373,8 @@
       { "state", NameOf(state) },
       { "crashes",
         static_cast<std::uint64_t>(isSound ? 0 : found->second.crashes) },
+      { "silences",
+        static_cast<std::uint64_t>(isSound ? 0 : found->second.silences) },
       { "source", aSource } });
 }
 
@@ -297,8 +382,14 @@
                                  const PeerHeader& aHeader,
                                  PeerBody& aBody)
 {
-  if (const auto* const report = std::get_if<CrashReport>(&aBody)) {
+  if (auto* const report = std::get_if<CrashReport>(&aBody)) {
+    if (!IsFleetNew()) {
+      for (ServerCrash& crash : report->crashes) {
+        crash.isFleetNew = false;
+      }
+    }
     AddReport(*report, aHeader.sender.name);
+    AdoptMemory(report->memoryAge);
     return true;
   }
   if (const auto* const trial = std::get_if<TraitTrial>(&aBody)) {
@@ -306,20 +397,31 @@
     return true;
   }
   if (std::holds_alternative<CrashReportRequest>(aBody)) {
-    peers_.SendBack(
-      aRoute, aHeader.sender.incarnation, evidence_.Report(Now().steady));
+    const Instant now = Now().steady;
+    CrashReport report = evidence_.Report(now);
+    report.memoryAge = now - rememberedSince_;
+    peers_.SendBack(aRoute, aHeader.sender.incarnation, std::move(report));
     return true;
   }
   return false;
 }
 
-void CrashService::OnPeerDigest(const std::string& aPeer, std::uint64_t aDigest)
+void CrashService::FillStatus(GatewayStatus& aStatus) const
+{
+  aStatus.crashDigest = evidence_.Digest();
+  aStatus.crashMemoryAge = Now().steady - rememberedSince_;
+}
+
+void CrashService::OnPeerStatus(const GatewayStatus& aStatus)
 {
   const Instant now = Now().steady;
-  if (aDigest != 0 && aDigest != Digest() &&
-      now - lastAskedAt_ >= kAskInterval) {
+  if (aStatus.crashDigest == 0 || aStatus.crashDigest == evidence_.Digest()) {
+    AdoptMemory(aStatus.crashMemoryAge);
+    return;
+  }
+  if (now - lastAskedAt_ >= kAskInterval) {
     lastAskedAt_ = now;
-    peers_.SendTo(aPeer, CrashReportRequest{});
+    peers_.SendTo(aStatus.address, CrashReportRequest{});
   }
 }
 
@@ -338,7 +440,8 @@
   for (const auto& [trait, verdict] : evidence_.Verdicts()) {
     text += "request trait " + trait + ": " +
             std::string(NameOf(verdict.state)) + ", crashes " +
-            std::to_string(verdict.crashes) + "\n";
+            std::to_string(verdict.crashes) + ", silences " +
+            std::to_string(verdict.silences) + "\n";
   }
   return text;
 }
--- a/servers/gateway/crash_service.h
+++ b/servers/gateway/crash_service.h
@@ -69,9 +69,11 @@
   bool OnPeerMessage(const Route& aRoute,
                      const PeerHeader& aHeader,
                      PeerBody& aBody);
+  /** Tells peers which verdicts this gateway has, and since when it remembers
+   * crashes. */
+  void FillStatus(GatewayStatus& aStatus) const;
   /** Asks a peer for its reports if they differ from those of this gateway. */
-  void OnPeerDigest(const std::string& aPeer, std::uint64_t aDigest);
-  std::uint64_t Digest() const { return evidence_.Digest(); }
+  void OnPeerStatus(const GatewayStatus& aStatus);
   /** Forgets what is old; call it several times a second. */
   void Expire();
   /** One line for each trait that is not sound. */
@@ -80,7 +82,14 @@
 private:
   CrashDetector::Handlers MakeHandlers();
   std::vector<std::string> VersionsFor(const TraitQuestion& aQuestion) const;
-  void OnCrash(const CrashDetector::Crash& aCrash);
+  void OnCrash(const NoticedEnd& aEnd, std::string_view aEvidence);
+  void OnSilence(const NoticedEnd& aSilence);
+  /** Settles the suspicions against a server that has responded. */
+  void OnResponse(const BackendRecord& aBackend, Instant aOpenedAt);
+  /** Whether the fleet has started so lately that it may have forgotten what
+   * crashed servers before. */
+  bool IsFleetNew() const;
+  void AdoptMemory(Duration aAge);
   void OnSurvival(const BackendRecord& aBackend, const RequestTraits& aTraits);
   /** Tells the fleet that a trial has ended, if the send is one. */
   void EndTrial(SendNumber aNumber);
@@ -93,6 +102,9 @@
                                               Instant aPreviousCrashAt);
   TraitSurvival MakeSurvival(std::string aTrait, std::string aVersion);
   void LogVerdict(const std::string& aTrait, std::string_view aSource) const;
+  void LogEnd(std::string_view aEvent,
+              const NoticedEnd& aEnd,
+              std::string_view aEvidence);
   template<typename Body>
   void Broadcast(const Body& aBody);
 
@@ -105,6 +117,9 @@
   std::set<SendNumber> ownTrials_;
   std::uint64_t lastNumber_ = 0; ///< Of a send or a survival.
   Instant lastAskedAt_{};
+  /** Since when this gateway, or one that it has learned from, follows crashes.
+   */
+  Instant rememberedSince_;
   std::minstd_rand random_;
 };
 
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -113,11 +113,9 @@
       }
     });
   peers_.SetQueueWaitProvider([this] { return pieces_.LocalQueueWaits(); });
-  peers_.SetCrashDigest(
-    [this] { return crashes_.Digest(); },
-    [this](const std::string& aPeer, std::uint64_t aDigest) {
-      crashes_.OnPeerDigest(aPeer, aDigest);
-    });
+  peers_.SetCrashStatus(
+    [this](GatewayStatus& aStatus) { crashes_.FillStatus(aStatus); },
+    [this](const GatewayStatus& aStatus) { crashes_.OnPeerStatus(aStatus); });
   peers_.SetLimitsHandler(
     [this](const std::string& aPeer, std::span<const BackendLimit> aLimits) {
       limits_.OnPeerLimits(aPeer, aLimits);
@@ -126,7 +124,7 @@
     if (aEvent.kind == "restarted") {
       crashes_.Detector().OnRestarted(aEvent.id, aEvent.startedMs);
     } else if (aEvent.kind == "removed") {
-      crashes_.Detector().OnRemoved(aEvent.id);
+      crashes_.Detector().OnRemoved(aEvent.id, aEvent.wasLeaving);
     }
   });
 }
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -117,8 +117,8 @@
   if (queueWaitProvider_) {
     status.waits = queueWaitProvider_();
   }
-  if (crashDigestProvider_) {
-    status.crashDigest = crashDigestProvider_();
+  if (crashStatusProvider_) {
+    crashStatusProvider_(status);
   }
   return status;
 }
@@ -369,8 +369,8 @@
     // It may have just started, and know nothing.
     SendTo(peer.status.address, OwnStatus());
   }
-  if (crashDigestHandler_) {
-    crashDigestHandler_(peer.status.address, peer.status.crashDigest);
+  if (crashStatusHandler_) {
+    crashStatusHandler_(peer.status);
   }
 }
 
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -49,10 +49,9 @@
 
   using Handler = std::function<void(Route, const PeerHeader&, PeerBody)>;
   using QueueWaitProvider = std::function<std::vector<ServiceWait>()>;
-  using CrashDigestProvider = std::function<std::uint64_t()>;
-  /** Called with the address of a peer and its digest. */
-  using CrashDigestHandler =
-    std::function<void(const std::string&, std::uint64_t)>;
+  /** Adds what is told of crashes to the own status. */
+  using CrashStatusProvider = std::function<void(GatewayStatus&)>;
+  using CrashStatusHandler = std::function<void(const GatewayStatus&)>;
   /** Called with the address of a peer and what its status says of limits. */
   using LimitsHandler =
     std::function<void(const std::string&, std::span<const BackendLimit>)>;
@@ -67,11 +66,11 @@
     queueWaitProvider_ = std::move(aProvider);
   }
   /** Sets what is told of crashes in the status, and who hears of it. */
-  void SetCrashDigest(CrashDigestProvider aProvider,
-                      CrashDigestHandler aHandler)
+  void SetCrashStatus(CrashStatusProvider aProvider,
+                      CrashStatusHandler aHandler)
   {
-    crashDigestProvider_ = std::move(aProvider);
-    crashDigestHandler_ = std::move(aHandler);
+    crashStatusProvider_ = std::move(aProvider);
+    crashStatusHandler_ = std::move(aHandler);
   }
   /** Sets who hears of the limits that peers know. */
   void SetLimitsHandler(LimitsHandler aHandler)
@@ -144,8 +143,8 @@
   PeerTransport transport_;
   Handler handler_;
   QueueWaitProvider queueWaitProvider_;
-  CrashDigestProvider crashDigestProvider_;
-  CrashDigestHandler crashDigestHandler_;
+  CrashStatusProvider crashStatusProvider_;
+  CrashStatusHandler crashStatusHandler_;
   LimitsHandler limitsHandler_;
   /** When each peer was heard that has not said that it leaves. */
   std::map<std::string, Instant, std::less<>> heardAt_;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -383,14 +383,23 @@
   return crashes_.OnSent(aBatch.backend, shared, std::move(decision.suspects));
 }
 
-void PieceService::ReportEnd(CrashService::SendNumber aSend, BatchEnd aEnd)
+void PieceService::ReportEnd(CrashService::SendNumber aSend,
+                             BatchEnd aEnd,
+                             bool aIsLate)
 {
   switch (aEnd) {
     case BatchEnd::Answered:
       crashes_.Detector().OnEvents(aSend, true);
       break;
+    case BatchEnd::Rejected:
+      crashes_.Detector().OnRejected(aSend);
+      break;
     case BatchEnd::Lost:
-      crashes_.Detector().OnBroken(aSend);
+      if (aIsLate) {
+        crashes_.Detector().OnTimedOut(aSend);
+      } else {
+        crashes_.Detector().OnBroken(aSend);
+      }
       break;
     default:
       crashes_.Detector().OnEnded(aSend);
@@ -410,8 +419,9 @@
   if (place != LimitPlace::Refused) {
     end = co_await CallReplica(aService, aBatch, aSend, place, results);
   }
-  ReportEnd(aSend, end);
-  if (end == BatchEnd::Lost && Now().steady < aBatch.abandonAt) {
+  const bool isLate = Now().steady >= aBatch.abandonAt;
+  ReportEnd(aSend, end, isLate);
+  if (end == BatchEnd::Lost && !isLate) {
     // Its pieces may have crashed the server and would crash the next. After a
     // time-out, a probe would tell too late.
     co_await crashes_.Detector().AwaitProbe(aBatch.backend);
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -111,7 +111,7 @@
                                         Batch aBatch,
                                         CrashService::SendNumber aSend);
   /** Tells the crash detector how a call has ended. */
-  void ReportEnd(CrashService::SendNumber aSend, BatchEnd aEnd);
+  void ReportEnd(CrashService::SendNumber aSend, BatchEnd aEnd, bool aIsLate);
   /** Makes one call; sets `aResults` only if it returns `Answered`. */
   boost::asio::awaitable<BatchEnd> CallReplica(
     const std::string& aService,
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -378,15 +378,24 @@
 
 void SendLoop::ReportEnd(const SendResult& aResult)
 {
-  const bool isBroken = aResult.failure == SendFailure::Lost ||
-                        aResult.failure == SendFailure::Interrupted;
+  CrashDetector& detector = crashes_.Detector();
   // A server that answers with a failure is there to answer.
   if (!aResult.failure || *aResult.failure == SendFailure::Failed) {
-    crashes_.Detector().OnEvents(sendNumber_, true);
-  } else if (isBroken && aResult.outcome != SendOutcome::Abandoned) {
-    crashes_.Detector().OnBroken(sendNumber_);
+    detector.OnEvents(sendNumber_, true);
+    return;
+  }
+  const bool isOpen = *aResult.failure == SendFailure::Lost ||
+                      *aResult.failure == SendFailure::Interrupted;
+  if (*aResult.failure == SendFailure::Rejected) {
+    detector.OnRejected(sendNumber_);
+  } else if (!isOpen) {
+    detector.OnEnded(sendNumber_);
+  } else if (aResult.outcome == SendOutcome::Abandoned) {
+    detector.OnClientLeft(sendNumber_);
+  } else if (aResult.outcome == SendOutcome::Unreachable) {
+    detector.OnTimedOut(sendNumber_);
   } else {
-    crashes_.Detector().OnEnded(sendNumber_);
+    detector.OnBroken(sendNumber_);
   }
 }
 
