Count the ends of servers whose client had left before

Cause: when a client left, the detector forgot its send, although the server may still work on the request and end under it. Change: such a send stays in the evidence until its server responds to something else 300 ms later, or for 6 s. After 300 ms the server is probed, unless a connection from before is still open; a trial lasts until then.

--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -128,7 +128,9 @@
     OnEnded(aNumber);
     return;
   }
-  OnEnded(aNumber);
+  sends_.OnGivenUp(aNumber, Now().steady);
+  asio::co_spawn(
+    loop_, ProbeAfterClientLeft(aNumber, sent.backend), asio::detached);
 }
 
 asio::awaitable<void> CrashDetector::ProbeAfterClientLeft(SendNumber aNumber,
