Suspect no server that has said that it leaves

Cause: a server that drains finishes what it has, and may answer nothing else meanwhile, which counted as silence. Change: the silence of a server that leaves is not reported.

--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -240,7 +240,10 @@
 void CrashDetector::ReportSilences()
 {
   for (const NoticedEnd& silence : sends_.TakeSilences(Now().steady)) {
-    handlers_.onSilence(silence);
+    const BackendPtr server = sends_.Find(silence.sends.front()).backend;
+    if (!IsLeaving(*server)) {
+      handlers_.onSilence(silence);
+    }
     // The suspicion bounds how many may follow; the next one may show sooner
     // that the request is sound.
     std::ranges::for_each(silence.sends, handlers_.onEnd);
