Find peers sooner after a start

Cause: after all gateways have started at once they knew each other after 500 to 1,000 ms only: the first message to a peer is dropped while its connection is set up, and each step of the discovery waits for the next round. Two gateways each sent the request that had just crashed a server of the other. Change: for a second after its start a gateway sends its status every 50 ms.

--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -216,7 +216,8 @@
       return now - aItem.second >= kRecentTime;
     });
     state_.retryBudget.SetGatewayCount(LiveGateways());
-    timer.expires_after(kStatusInterval);
+    timer.expires_after(now < startedAt_ + kDiscoveryTime ? kDiscoveryInterval
+                                                          : kStatusInterval);
     boost::system::error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -38,6 +38,10 @@
 public:
   /** Time between two rounds of status messages. */
   static constexpr Duration kStatusInterval = std::chrono::milliseconds(250);
+  /** The same right after the start, for `kDiscoveryTime`: a message that opens
+   * a connection may be lost, and peers are found in several steps. */
+  static constexpr Duration kDiscoveryInterval = std::chrono::milliseconds(50);
+  static constexpr Duration kDiscoveryTime = std::chrono::seconds(1);
   /** Number of peers per round, in addition to the owners of queues. */
   static constexpr std::size_t kFanOut = 8;
   /** Peers notified of one long prompt, chosen at random in a larger fleet. */
