--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -243,6 +243,7 @@
   ServerCrash& crash = end.crash;
   crash.unlistedRestarts =
     evidence_.RestartsBefore(crash.backend, crash.startedMs, end.openedAt);
+  crash.isFleetNew = IsFleetNew();
   const CrashReport report{ { crash }, {}, {}, {} };
   if (!AddReport(report, "own")) {
     return;
