--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -238,10 +238,14 @@
   }
 }
 
-EdgeResponse CellReplica::NotExecutedResponse(unsigned aStatus) const
+EdgeResponse CellReplica::NotExecutedResponse(unsigned aStatus,
+                                              const std::string& aAttempt) const
 {
   EdgeResponse response;
   response.status = aStatus;
+  if (faults_.namesRefused && !aAttempt.empty()) {
+    response.fields.set("Attempt-Id", aAttempt);
+  }
   response.fields.set("Not-Executed", "1");
   AddOwnHeaders(response);
   return response;
@@ -310,6 +314,7 @@
                                           *ParseEndpoint(address_),
                                           processes_.All())
                           .value_or(0);
+  std::optional<EdgeResponse> lastRefusal;
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
     const CellArrival arrival{ Header(*aClient, "Attempt-Id"),
                                Now().steady,
@@ -352,9 +357,13 @@
       continue;
     }
     if (DrawFault(faults_.refuse)) {
-      co_await aClient->WriteResponse(NotExecutedResponse(503));
+      lastRefusal = NotExecutedResponse(503, arrival.attemptId);
+      co_await aClient->WriteResponse(*lastRefusal);
       continue;
     }
+    if (faults_.repeatsRefusals && lastRefusal) {
+      co_await aClient->WriteResponse(*lastRefusal);
+    }
     // A switch, because GCC 12 miscompiles co_await in a conditional
     // expression.
     bool canReuseConnection = false;
@@ -474,6 +483,12 @@
   co_return isOpen;
 }
 
+void CellReplica::CheckInput(std::string_view aHandle,
+                             std::string_view aAttempt)
+{
+  foreignInputs_ += aHandle.ends_with(aAttempt) ? 0 : 1;
+}
+
 bool CellReplica::HasCrashingPiece(const json::value& aCall) const
 {
   return !crash_.pieceKey.empty() &&
@@ -503,9 +518,16 @@
   json::array items;
   for (const json::value& item : body.at("items").as_array()) {
     ++pieces_;
-    const std::string handle =
-      address_ + "/" + id_ + "-" + std::to_string(++lastResult_);
+    const std::string handle = address_ + "/" + id_ + "-" +
+                               std::to_string(++lastResult_) + "-" +
+                               std::string(item.at("id").as_string());
     results_[handle] = std::string(item.at("id").as_string());
+    if (const json::value* const inputs =
+          item.as_object().if_contains("inputs")) {
+      for (const json::value& input : inputs->as_array()) {
+        CheckInput(input.as_string(), item.at("id").as_string());
+      }
+    }
     json::object resultItem;
     resultItem["handle"] = handle;
     items.push_back(std::move(resultItem));
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -105,7 +105,10 @@
   double truncate = 0.0;     ///< Ends the connection within the response.
   double hang = 0.0;         ///< Executes, then responds after all timeouts.
   double sendExtraResponse = 0.0; ///< Sends each response twice.
-  bool isEndless = false;         ///< Sends an event without end.
+  /** Writes the last refusal of a connection again before each response. */
+  bool repeatsRefusals = false;
+  bool namesRefused = false;   ///< Refusals name the attempt that they answer.
+  bool isEndless = false;      ///< Sends an event without end.
   bool isUnresponsive = false; ///< Blocks requests and streams until cleared.
   bool closesAfterResponse = false; ///< Closes the connection after a response.
   double delayFactor = 1.0;         ///< Multiplies all processing times.
@@ -173,6 +176,8 @@
   std::uint64_t Pieces() const { return pieces_; }
   /** Number of responses that were broken off by `CellFaults::cut`. */
   std::uint64_t Cuts() const { return cuts_; }
+  /** Number of results of other attempts that were given as inputs. */
+  std::uint64_t ForeignInputs() const { return foreignInputs_; }
   /** Number of results that have not been released. */
   std::size_t Results() const { return results_.size(); }
 
@@ -185,7 +190,8 @@
   boost::asio::awaitable<void> Sleep(std::chrono::milliseconds aTime);
   EdgeResponse SealedResponse(const ClientConnection& aClient,
                               std::string aBody) const;
-  EdgeResponse NotExecutedResponse(unsigned aStatus) const;
+  EdgeResponse NotExecutedResponse(unsigned aStatus,
+                                   const std::string& aAttempt = "") const;
   bool DrawFault(double aChance);
   /** Whether an arrival is turned away, for a rest that begins now or has
    * begun before. */
@@ -222,6 +228,8 @@
   /** Waits while the process is silent. */
   boost::asio::awaitable<void> AwaitLife();
   bool IsCrashedBy(const ClientConnection& aClient) const;
+  /** Counts an input that is no result of the attempt. */
+  void CheckInput(std::string_view aHandle, std::string_view aAttempt);
   bool HasCrashingPiece(const boost::json::value& aCall) const;
 
   /** The last one listens; those before keep the connections that they had. */
@@ -244,6 +252,7 @@
   std::uint32_t maxConcurrentCalls_ = 0;
   std::uint64_t pieces_ = 0;
   std::uint64_t cuts_ = 0;
+  std::uint64_t foreignInputs_ = 0;
   std::uint64_t lastResult_ = 0;
   std::map<std::string, std::string> results_; ///< Item id by result handle.
 };
