Don't believe a refusal that may be an earlier one, written again

Callers could be told that a request had not run although it ran, or it ran twice. Cause: a refusal without an attempt id answers any request, and a faulty server may write an earlier one again on a kept connection. Change: a refusal that names no attempt closes its connection, also for calls about pieces; on a connection that has carried a refusal, one that names no attempt is not believed.

--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -95,6 +95,11 @@
   void Finish(std::optional<Duration> aIdleTime, bool aMayReuse);
   /** When its connection was opened; call after `Connect`. */
   Instant OpenedAt() const { return connection_->openedAt; }
+  /** Whether an earlier response on its connection was a refusal, which a
+   * faulty server may write again. */
+  bool HasRefusedBefore() const { return connection_->hasRefused; }
+  /** The response is a refusal; marks the connection. */
+  void OnRefused() { connection_->hasRefused = true; }
   /** Whether this is the first request on its connection. */
   bool IsFresh() const { return connection_ && connection_->uses == 0; }
 
--- a/drivers/edge/backend_pool.h
+++ b/drivers/edge/backend_pool.h
@@ -33,7 +33,8 @@
   Instant idleSince{};
   Instant idleUntil{};
   bool isIdle = false;
-  bool isWatched = false; ///< A wait for input is pending.
+  bool isWatched = false;  ///< A wait for input is pending.
+  bool hasRefused = false; ///< It has carried a refusal.
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -315,7 +315,8 @@
   if (body.state != ExchangeState::Ok) {
     co_return BatchEnd::Lost;
   }
-  exchange.Finish(head.IdleTime(), !head.closes);
+  // A refusal that is written again could not be told from a later response.
+  exchange.Finish(head.IdleTime(), !head.closes && !head.isNotExecuted);
   if (head.isNotExecuted) {
     co_return BatchEnd::Rejected;
   }
@@ -630,7 +631,7 @@
     OnResultsReleased(aHandles);
   }
   if (body.state == ExchangeState::Ok) {
-    exchange.Finish(head.IdleTime(), !head.closes);
+    exchange.Finish(head.IdleTime(), !head.closes && !head.isNotExecuted);
   }
 }
 
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -529,10 +529,20 @@
       };
     }
     if (head.isNotExecuted) {
+      const bool namesAttempt = !head.attempt.empty();
+      if (!namesAttempt && aExchange.HasRefusedBefore()) {
+        co_return SendResult{
+          SendFailure::Lost, SendOutcome::Failed, "unnamed-refusal", true
+        };
+      }
+      aExchange.OnRefused();
       const BodyPart rest = co_await aExchange.ReadRest(
         attempt_.responseDeadline, kMaxSkippedBytes);
+      // Written again, it could not be told from the refusal of a later
+      // request.
+      const bool mayReuse = namesAttempt && !head.closes;
       aExchange.Finish(head.IdleTime(),
-                       rest.state == ExchangeState::Ok && !head.closes);
+                       rest.state == ExchangeState::Ok && mayReuse);
       co_return SendResult{
         SendFailure::Rejected, SendOutcome::Failed, "not-run", true
       };
