--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <string>
 #include <variant>
@@ -319,6 +320,65 @@
   }
 }
 
+TEST_CASE("[Platform] odd values of any field end no reader, and numbers stay "
+          "in their ranges")
+{
+  const std::array<std::string, 14> values{ "1e300",
+                                            "-1e300",
+                                            "1e999",
+                                            "18446744073709551616",
+                                            "-1",
+                                            "99999",
+                                            "null",
+                                            "\"\"",
+                                            "\"\xff\"",
+                                            "[]",
+                                            "{}",
+                                            std::string(40, '[') +
+                                              std::string(40, ']'),
+                                            std::string(200'000, '['),
+                                            "true" };
+  // Each value of each field is replaced in turn.
+  const auto forEachVariant = [&](const std::string& aText, auto aRead) {
+    for (std::size_t colon = aText.find(':'); colon != std::string::npos;
+         colon = aText.find(':', colon + 1)) {
+      const std::size_t end = aText.find_first_of(",}]", colon);
+      for (const std::string& value : values) {
+        aRead(aText.substr(0, colon + 1) + value + aText.substr(end));
+      }
+    }
+  };
+  int usable = 0;
+  forEachVariant(RegistryEntry(), [&](const std::string& aText) {
+    const auto decoded = DecodeBackend("i-1", aText);
+    usable += std::holds_alternative<BackendRecord>(decoded) ? 1 : 0;
+  });
+  forEachVariant(std::string(kConfiguration), [&](const std::string& aText) {
+    const auto decoded = DecodeConfiguration(aText);
+    const auto* const read = std::get_if<ServedConfiguration>(&decoded);
+    if (!read) {
+      return;
+    }
+    ++usable;
+    for (const RouteSpec& route : read->routes) {
+      CHECK(route.timeout >= Duration{});
+      CHECK(route.timeout < std::chrono::hours(24 * 365 * 40));
+    }
+  });
+  forEachVariant(R"({"items":[{"handle":"10.0.0.1:1/a"},{"reason":"gone"}]})",
+                 [&](const std::string& aText) {
+                   usable += DecodePieceResults(aText, 2) ? 1 : 0;
+                 });
+  forEachVariant(
+    R"({"items":[{"key":"servers/i-1","value":"e30=","revision":3}],)"
+    R"("more-pages":false,"store-revision":9})",
+    [&](const std::string& aText) {
+      const auto decoded = DecodeStoreResponse(aText);
+      usable += std::holds_alternative<StoreResponse>(decoded) ? 1 : 0;
+    });
+  CHECK(usable > 0);
+}
+
 TEST_CASE("[BackendResponseHead] only the value 1 says that a server leaves")
 {
   const auto isLeaving = [](const std::vector<std::string>& aValues,
