--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -322,8 +322,11 @@
   for (const ServerCrash& crash : aReport.crashes) {
     for (const RequestTrait& trait : crash.traits) {
       const auto old = before.find(trait.name);
+      // A new fleet holds a trait back after one crash, unless it was
+      // survived lately.
+      const bool isAnySurvivalEnough = old == before.end() || crash.isFleetNew;
       const Instant previousAt =
-        old == before.end() ? Instant{} : old->second.lastCrashAt;
+        isAnySurvivalEnough ? Instant{} : old->second.lastCrashAt;
       if (after.contains(trait.name) &&
           survivals_.HasSince(
             SurvivalName(trait.name, crash.version), previousAt, now)) {
