Let the soak's servers fall silent and kill all gateways at once

Cause: the soak played crashes that break connections only. Change: servers end at random closed, silent or silent and under another id, at once or 150 ms later; in some runs all gateways are killed at once. The fake servers answer the question that gateways ask.

--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -342,6 +342,12 @@
       continue;
     }
     const auto target = aClient->GetRequest().target();
+    if (target == "/gypsumstream/report") {
+      EdgeResponse report;
+      report.status = isMisdirected ? 421 : 200;
+      co_await aClient->WriteResponse(std::move(report));
+      continue;
+    }
     if (target == "/gypsumstream/stage-free") {
       const json::value body = json::parse(aClient->GetRequest().body());
       for (const json::value& handle : body.at("handles").as_array()) {
--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -68,6 +68,7 @@
   , hardshipRandom_(aSeed)
   , incidentRandom_(aSeed)
   , restRandom_(aSeed)
+  , endRandom_(aSeed)
   , cell_(aSize, aSeed)
   , faultDuration_(aFaultDuration)
 {
@@ -343,7 +344,9 @@
       isPartCrashing_ = true;
       cell_.Run([&] {
         for (auto& replica : cell_.ModelReplicas()) {
-          replica->SetCrash({ kCrashingPart, 0, milliseconds(800) });
+          CellCrash crash{ kCrashingPart, 0, milliseconds(800) };
+          DrawEnd(crash);
+          replica->SetCrash(crash);
         }
       });
       break;
@@ -375,6 +378,31 @@
   }
 }
 
+void Soak::DrawEnd(CellCrash& aCrash)
+{
+  constexpr std::array kEnds{ CellEnd::Closed,
+                              CellEnd::Silent,
+                              CellEnd::Renamed };
+  aCrash.end = kEnds[endRandom_() % kEnds.size()];
+  aCrash.delay = milliseconds(endRandom_() % 2 == 0 ? 0 : 150);
+}
+
+void Soak::KillAllGateways()
+{
+  if (wereAllKilled_ || endRandom_() % 12 != 0) {
+    return;
+  }
+  RecordFault("all-gateways-killed");
+  wereAllKilled_ = true;
+  for (CellGateway& gateway : cell_.Gateways()) {
+    gateway.process.reset();
+  }
+  for (std::size_t index = 0; index < cell_.Gateways().size(); ++index) {
+    disturbedAt_[index].push_back(Now().steady);
+    cell_.StartGateway(cell_.Gateways()[index]);
+  }
+}
+
 void Soak::InjectIncident()
 {
   switch (incidentRandom_() % 4) {
@@ -385,6 +413,7 @@
           CellCrash crash;
           crash.downTime = milliseconds(800);
           crash.request = kCrashingPath;
+          DrawEnd(crash);
           server->SetCrash(crash);
         }
       });
@@ -510,6 +539,7 @@
     InjectHardship();
     InjectIncident();
     InjectRest();
+    KillAllGateways();
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -79,6 +79,10 @@
   void InjectHardship();
   /** Makes servers crash on a request, or say that they leave. */
   void InjectIncident();
+  /** How and how late a server ends under a request. */
+  void DrawEnd(CellCrash& aCrash);
+  /** Kills all gateways at once, in some runs. */
+  void KillAllGateways();
   /** Makes servers ask for rest, or stop to. */
   void InjectRest();
   void CheckCrashingRequest();
@@ -99,6 +103,7 @@
   std::mt19937_64 hardshipRandom_;
   std::mt19937_64 incidentRandom_;
   std::mt19937_64 restRandom_;
+  std::mt19937_64 endRandom_;
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
@@ -118,6 +123,7 @@
   std::vector<NamedLimit> limits_;
   std::atomic<bool> isPartCrashing_ = false;
   std::atomic<bool> isRequestCrashing_ = false;
+  bool wereAllKilled_ = false;
   std::map<std::size_t, std::vector<Instant>> disturbedAt_; ///< By gateway.
   /** A time for which a gateway process was stopped. */
   struct Pause
