Hold requests back for 10 s at most in a new fleet

A sound staged request that was cut twice in a new fleet was held for 20 s; the operators ask for recovery within 12 s. Change: the hold lasts 10 s.

--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -161,8 +161,9 @@
   static constexpr Duration kNewFleetTime = std::chrono::seconds(30);
   /** Two gateways may send the same request before either knows of a crash. */
   static constexpr std::ptrdiff_t kMostSingleCrashes = 2;
-  /** How long a single crash in a new fleet holds a trait back. */
-  static constexpr Duration kNewFleetHold = std::chrono::seconds(20);
+  /** How long a single crash in a new fleet holds a trait back; less than the
+   * time in which a fleet must have recovered. */
+  static constexpr Duration kNewFleetHold = std::chrono::seconds(10);
   /** Versions that a trait has crashed until no other one may try it. */
   static constexpr std::size_t kMaxCrashedVersions = 3;
   static constexpr std::size_t kMaxCrashes = 256;
