--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -83,7 +83,8 @@
 
 bool CrashDetector::IsLeaving(const BackendRecord& aBackend) const
 {
-  // One that is asked has not said that it leaves, or did not survive it.
+  // A server that is being asked was removed without notice, so that its end
+  // still counts.
   return handlers_.isLeaving(aBackend) &&
          !asked_.contains(UnansweredSends::IncarnationOf(aBackend));
 }
