Move the choice of store readers into a class of the core

Cause: which gateways read the store, and which peer is asked for a newer version, was decided inside PeerExchange, where it can't be tested in virtual time. Change: StoreKnowledge decides both, and SilenceTimeout is a function of the number of peers. Behaviour stays: same readers, same sources.

--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "core/gateway/route_table.h"
 #include "core/gateway/send_permissions.h"
 #include "core/gateway/service_versions.h"
+#include "core/gateway/store_knowledge.h"
 #include "core/identity.h"
 #include "drivers/edge/backend_pool.h"
 #include "drivers/event_log.h"
@@ -36,6 +37,8 @@
     , settings(std::move(aSettings))
     , self(std::move(aSelf))
     , log(aLog)
+    , configurationKnowledge(settings.peerAddress)
+    , backendKnowledge(settings.peerAddress)
     , retryBudget(settings.retryBudget)
     , pool(aLoop.get_executor())
   {
@@ -44,6 +47,11 @@
   GatewayState(const GatewayState&) = delete;
   GatewayState& operator=(const GatewayState&) = delete;
 
+  StoreKnowledge& Knowledge(StorePart aPart)
+  {
+    return aPart == StorePart::Configuration ? configurationKnowledge
+                                             : backendKnowledge;
+  }
   bool IsStopping() const { return stopAt.has_value(); }
   /** A random number from 0 to 1. */
   double DrawFraction()
@@ -57,6 +65,8 @@
   EventLog& log;
   RouteTablePtr routes;          ///< Null until a configuration is known.
   std::string configurationText; ///< As published; sent to peers on request.
+  StoreKnowledge configurationKnowledge;
+  StoreKnowledge backendKnowledge;
   BackendRegistry registry;
   ServiceVersions versions;
   BackendLoads loads;
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -21,9 +21,6 @@
 
 namespace {
 
-/** Silence after which a peer counts as down in a fleet of up to `kFanOut`
- * gateways. */
-constexpr Duration kPeerTimeout = std::chrono::milliseconds(900);
 /** How long an address that has sent nothing stays a target, and how long a
  * silent peer is kept. */
 constexpr Duration kCandidateTimeout = std::chrono::seconds(10);
@@ -123,17 +120,9 @@
   return status;
 }
 
-Duration PeerExchange::SilenceTimeout() const
-{
-  // Each peer sends to `kFanOut` others per round, so its messages arrive less
-  // often in a larger fleet.
-  const auto rounds = static_cast<std::int64_t>(1 + peers_.size() / kFanOut);
-  return kPeerTimeout + kStatusInterval * 4 * (rounds - 1);
-}
-
 bool PeerExchange::IsLive(const Peer& aPeer, Instant aNow) const
 {
-  return aNow - aPeer.lastReceivedAt < SilenceTimeout();
+  return aNow - aPeer.lastReceivedAt < SilenceTimeout(peers_.size());
 }
 
 std::vector<std::string> PeerExchange::RoundTargets()
@@ -141,8 +130,8 @@
   const Instant now = Now().steady;
   std::vector<std::string> live = LivePeers(LeavingPeers::Include);
   std::ranges::shuffle(live, random_);
-  if (live.size() > kFanOut) {
-    live.resize(kFanOut);
+  if (live.size() > kPeersPerRound) {
+    live.resize(kPeersPerRound);
     for (const auto& [service, owner] : owners_) {
       if (!owner.empty()) {
         live.push_back(owner);
@@ -210,6 +199,8 @@
         return false;
       }
       state_.loads.RemovePeer(aItem.first);
+      state_.configurationKnowledge.RemovePeer(aItem.first);
+      state_.backendKnowledge.RemovePeer(aItem.first);
       return true;
     });
     std::erase_if(heardAt_, [&](const auto& aItem) {
@@ -229,28 +220,16 @@
   const Instant now = Now().steady;
   const bool hasStoreAccess =
     IsStoreReader() && now - state_.lastStoreResponseAt < kStoreTimeout;
-  const Peer* newest = nullptr;
-  const Peer* newestRegistry = nullptr;
-  for (const auto& [address, peer] : peers_) {
-    if (!IsLive(peer, now)) {
-      continue;
-    }
-    if (peer.version > platformState_.Version() &&
-        (!newest || peer.version > newest->version)) {
-      newest = &peer;
-    }
-    if (peer.status.registryRevision > state_.registry.Revision() &&
-        (!newestRegistry || peer.status.registryRevision >
-                              newestRegistry->status.registryRevision)) {
-      newestRegistry = &peer;
-    }
-  }
+  state_.configurationKnowledge.OnVersion(platformState_.Version());
+  state_.backendKnowledge.OnVersion(state_.registry.Revision());
+  const std::vector<std::string> live = LivePeers(LeavingPeers::Include);
   // A newer configuration is requested even while the store responds.
-  if (newest) {
-    SendTo(newest->status.address, ManifestRequest{});
+  if (const auto source = state_.configurationKnowledge.ChooseSource(live)) {
+    SendTo(*source, ManifestRequest{});
   }
-  if (newestRegistry && !hasStoreAccess) {
-    SendTo(newestRegistry->status.address, RegistryRequest{});
+  const auto source = state_.backendKnowledge.ChooseSource(live);
+  if (source && !hasStoreAccess) {
+    SendTo(*source, RegistryRequest{});
   }
 }
 
@@ -348,8 +327,11 @@
                        { "version", aHeader.revision } });
   }
   peer.id = aHeader.sender;
-  peer.version = aHeader.revision;
   peer.lastReceivedAt = now;
+  state_.configurationKnowledge.OnClaim(aStatus.address,
+                                        { aHeader.revision, aStatus.storeAge });
+  state_.backendKnowledge.OnClaim(
+    aStatus.address, { aStatus.registryRevision, aStatus.storeAge });
   state_.loads.OnPeerReport(aStatus.address, aStatus.loads, now);
   for (const PrefixRead& read : aStatus.reads) {
     state_.prefixes.OnPeerRead(read, now);
@@ -465,18 +447,7 @@
 
 bool PeerExchange::IsStoreReader() const
 {
-  const Instant now = Now().steady;
-  const std::uint64_t key = Checksum("store-readers");
-  const std::uint64_t own = RendezvousWeight(key, state_.settings.peerAddress);
-  std::size_t before = 0;
-  for (const auto& [address, peer] : peers_) {
-    // A peer that gets no response from the store does not count as a reader.
-    if (IsLive(peer, now) && peer.status.storeAge < kStoreTimeout * 4 &&
-        RendezvousWeight(key, address) > own) {
-      ++before;
-    }
-  }
-  return before < kMaxStoreReaders;
+  return state_.backendKnowledge.IsReader(LivePeers(LeavingPeers::Include));
 }
 
 void PeerExchange::SendTo(const std::string& aAddress, PeerBody aBody)
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/peer_liveness.h"
 #include "core/messages.h"
 #include "drivers/peer/peer_transport.h"
 #include "servers/gateway/gateway_state.h"
@@ -36,18 +37,13 @@
 class PeerExchange
 {
 public:
-  /** Time between two rounds of status messages. */
-  static constexpr Duration kStatusInterval = std::chrono::milliseconds(250);
-  /** The same right after the start, for `kDiscoveryTime`: a message that opens
-   * a connection may be lost, and peers are found in several steps. */
+  /** Time between two rounds of status messages right after the start, for
+   * `kDiscoveryTime`: a message that opens a connection may be lost, and peers
+   * are found in several steps. */
   static constexpr Duration kDiscoveryInterval = std::chrono::milliseconds(50);
   static constexpr Duration kDiscoveryTime = std::chrono::seconds(1);
-  /** Number of peers per round, in addition to the owners of queues. */
-  static constexpr std::size_t kFanOut = 8;
   /** Peers notified of one long prompt, chosen at random in a larger fleet. */
   static constexpr std::size_t kMaxPromptTargets = 24;
-  /** Maximum number of gateways that read the store at the same time. */
-  static constexpr std::size_t kMaxStoreReaders = 8;
   /** Most cuts between gateways end within this time. */
   static constexpr Duration kRecentTime = std::chrono::seconds(60);
 
@@ -123,7 +119,6 @@
   {
     ProcessId id;
     GatewayStatus status;
-    std::uint64_t version = 0;
     Instant liveSince{};
     Instant lastReceivedAt{};
     Instant lastSentAt{};
@@ -137,7 +132,6 @@
                               const GatewayStatus& aStatus);
   void RequestMissingUpdates();
   bool IsLive(const Peer& aPeer, Instant aNow) const;
-  Duration SilenceTimeout() const;
   PeerHeader HeaderFor(Incarnation aTarget) const;
   GatewayStatus OwnStatus() const;
   std::vector<std::string> RoundTargets();
