--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -26,6 +26,7 @@
 constexpr int kPeerPort = 18'740;
 constexpr int kReplicaPort = 18'800;
 constexpr int kStorePort = 18'624;
+constexpr int kFirstDoorPort = 19'000;
 
 std::string WithPort(const std::string& aAddress, int aPort)
 {
@@ -84,6 +85,10 @@
     gateway.clientAddress = WithPort(gateway.hostAddress, kClientPort);
     gateway.readyAddress = WithPort(gateway.hostAddress, kReadyPort);
     gateway.metricsAddress = WithPort(gateway.hostAddress, kMetricsPort);
+    gateway.storeAddress =
+      WithPort(networkPrefix_ + "1", kFirstDoorPort + index);
+    gateway.storeDoor = static_cast<std::size_t>(index) + 1;
+    loop_.Run([&] { store_->AddDoor(gateway.storeAddress); });
     const std::string name = "gateway-" + std::to_string(index);
     gateway.settingsFile = folder_ / (name + ".ini");
     gateway.logFile = folder_ / (name + ".log");
@@ -145,8 +150,7 @@
       << "\nready = " << aGateway.readyAddress
       << "\ncontrol = " << WithPort(aGateway.hostAddress, kControlPort)
       << "\nmetrics = " << aGateway.metricsAddress
-      << "\nstore = " << WithPort(networkPrefix_ + "1", kStorePort)
-      << "\npeer_port = " << kPeerPort
+      << "\nstore = " << aGateway.storeAddress << "\npeer_port = " << kPeerPort
       << "\nseeds = " << WithPort(gateways_.front().hostAddress, kControlPort)
       << "\n[repeats]\nratio = 0.2\nextra = 40\nwindow_s = 10\n"
       << "[log]\nlevel = info\nlines_per_s = 1000\n";
@@ -178,6 +182,9 @@
   if (configuration.hasLateRoute) {
     routes.push_back(Route("/late/", "idempotent", "plain", timeout, 2));
   }
+  for (const std::string& prefix : configuration.extraRoutes) {
+    routes.push_back(Route(prefix, "idempotent", "plain", timeout, 2));
+  }
   json::object cards = Service("cards");
   cards["pieces"] = json::object{ { "slots", 1 },     { "queue", 2 },
                                   { "batch", 8 },     { "call-ms", 30.0 },
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -32,6 +32,8 @@
   std::string clientAddress;
   std::string readyAddress;
   std::string metricsAddress;
+  std::string storeAddress; ///< A door of the store for this gateway only.
+  std::size_t storeDoor = 0;
   std::string settingsFile;
   std::string logFile;
   std::string hostAddress; ///< IPv4 loopback address, without a port.
@@ -103,6 +105,7 @@
     std::vector<std::string> apiKeys{ "key-one", "key-two" };
     std::string nonIdempotentService = "plain"; ///< Of the route `/once/`.
     bool hasLateRoute = false; ///< Whether the route `/late/` exists.
+    std::vector<std::string> extraRoutes; ///< Prefixes of plain routes.
     int timeoutMs = 1'500;
   };
   Configuration configuration;
--- a/tests/cell/cell_store.cpp
+++ b/tests/cell/cell_store.cpp
@@ -40,6 +40,13 @@
   return aTarget.substr(begin, aTarget.find('&', begin) - begin);
 }
 
+StoreContent ContentOf(const std::string& aTarget)
+{
+  return QueryParameter(aTarget, "prefix").starts_with("op/")
+           ? StoreContent::Configuration
+           : StoreContent::Servers;
+}
+
 EdgeResponse JsonResponse(unsigned aStatus, const json::object& aBody)
 {
   EdgeResponse response;
@@ -52,13 +59,42 @@
 } // namespace
 
 CellStore::CellStore(CellLoop& aLoop, std::string aAddress)
-  : address_(std::move(aAddress))
-  , loop_(aLoop.Context())
-  , listener_(loop_, address_, [this](ClientConnectionPtr aClient) {
-    return Serve(std::move(aClient));
-  })
+  : loop_(aLoop.Context())
+{
+  AddDoor(std::move(aAddress));
+}
+
+void CellStore::AddDoor(std::string aAddress)
+{
+  Door& door = doors_.emplace_back();
+  door.address = std::move(aAddress);
+  door.listener = std::make_unique<EdgeListener>(
+    loop_, door.address, [this, &door](ClientConnectionPtr aClient) {
+      return Serve(std::move(aClient), door);
+    });
+  door.listener->Start();
+}
+
+void CellStore::SetDoorMode(std::size_t aDoor,
+                            StoreContent aContent,
+                            StoreMode aMode)
+{
+  doors_[aDoor].modes[aContent] = aMode;
+  WakePendingWatches();
+}
+
+Instant CellStore::LastCallAt(std::size_t aDoor, StoreContent aContent) const
+{
+  const auto& lastCallAt = doors_[aDoor].lastCallAt;
+  const auto found = lastCallAt.find(aContent);
+  return found == lastCallAt.end() ? Instant{} : found->second;
+}
+
+StoreMode CellStore::ModeOf(const Door& aDoor, StoreContent aContent) const
 {
-  listener_.Start();
+  const auto found = aDoor.modes.find(aContent);
+  return mode_ != StoreMode::Up || found == aDoor.modes.end() ? mode_
+                                                              : found->second;
 }
 
 void CellStore::AppendChange(Change aChange)
@@ -103,21 +139,24 @@
   WakePendingWatches();
 }
 
-asio::awaitable<void> CellStore::Serve(ClientConnectionPtr aClient)
+asio::awaitable<void> CellStore::Serve(ClientConnectionPtr aClient, Door& aDoor)
 {
   const ClientLimits limits;
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
     ++calls_;
-    const auto target = aClient->GetRequest().target();
-    EdgeResponse response =
-      co_await Respond(std::string(target.data(), target.size()));
-    if (mode_ == StoreMode::Reset) {
+    const auto text = aClient->GetRequest().target();
+    const std::string target(text.data(), text.size());
+    const StoreContent content = ContentOf(target);
+    aDoor.lastCallAt[content] = Now().steady;
+    EdgeResponse response = co_await Respond(target, aDoor);
+    const StoreMode mode = ModeOf(aDoor, content);
+    if (mode == StoreMode::Reset) {
       aClient->Abort();
       co_return;
     }
-    if (mode_ == StoreMode::Unresponsive || mode_ == StoreMode::Slow) {
+    if (mode == StoreMode::Unresponsive || mode == StoreMode::Slow) {
       asio::steady_timer timer(loop_,
-                               mode_ == StoreMode::Slow
+                               mode == StoreMode::Slow
                                  ? std::chrono::milliseconds(250)
                                  : std::chrono::seconds(30));
       boost::system::error_code ignored;
@@ -130,12 +169,14 @@
   }
 }
 
-asio::awaitable<EdgeResponse> CellStore::Respond(std::string aTarget)
+asio::awaitable<EdgeResponse> CellStore::Respond(std::string aTarget,
+                                                 const Door& aDoor)
 {
-  if (mode_ == StoreMode::Unavailable) {
+  const StoreMode mode = ModeOf(aDoor, ContentOf(aTarget));
+  if (mode == StoreMode::Unavailable) {
     co_return JsonResponse(503, {});
   }
-  if (mode_ == StoreMode::TooManyRequests) {
+  if (mode == StoreMode::TooManyRequests) {
     co_return JsonResponse(429, {});
   }
   const std::string prefix = QueryParameter(aTarget, "prefix");
@@ -143,7 +184,8 @@
   if (aTarget.starts_with("/gypsumstream/kv-watch")) {
     co_return co_await Watch(prefix,
                              std::stoull(after),
-                             std::stoull(QueryParameter(aTarget, "wait-ms")));
+                             std::stoull(QueryParameter(aTarget, "wait-ms")),
+                             aDoor);
   }
   co_return List(prefix, after);
 }
@@ -208,15 +250,20 @@
 
 asio::awaitable<EdgeResponse> CellStore::Watch(std::string aPrefix,
                                                std::uint64_t aAfterRevision,
-                                               std::uint64_t aWaitMs)
+                                               std::uint64_t aWaitMs,
+                                               const Door& aDoor)
 {
+  const StoreContent content = aPrefix.starts_with("op/")
+                                 ? StoreContent::Configuration
+                                 : StoreContent::Servers;
   const Instant deadline = Now().steady + std::chrono::milliseconds(aWaitMs);
   for (;;) {
     if (aAfterRevision < compactedRevision_) {
       co_return JsonResponse(410, {});
     }
     std::optional<EdgeResponse> response = Changes(aPrefix, aAfterRevision);
-    if (response || Now().steady >= deadline || mode_ != StoreMode::Up) {
+    if (response || Now().steady >= deadline ||
+        ModeOf(aDoor, content) != StoreMode::Up) {
       co_return response ? std::move(*response) : NoChanges();
     }
     asio::steady_timer timer(loop_, deadline);
--- a/tests/cell/cell_store.h
+++ b/tests/cell/cell_store.h
@@ -1,13 +1,17 @@
 #pragma once
 
+#include "core/time.h"
 #include "drivers/edge/edge_listener.h"
 #include "tests/cell/cell_loop.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -26,17 +30,30 @@
   Slow,            ///< Every response is delayed by 250 ms.
 };
 
+/** The parts of the store that gateways follow. */
+enum class StoreContent
+{
+  Configuration,
+  Servers,
+};
+
 /** Fake of the platform's metadata store, with lists and watches. */
 class CellStore
 {
 public:
   CellStore(CellLoop& aLoop, std::string aAddress);
 
-  const std::string& Address() const { return address_; }
+  const std::string& Address() const { return doors_.front().address; }
   // The functions below must be called on the loop.
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   void SetMode(StoreMode aMode);
+  /** Adds an address of the store, for one gateway. */
+  void AddDoor(std::string aAddress);
+  /** How the store responds at one door; its own mode goes first. */
+  void SetDoorMode(std::size_t aDoor, StoreContent aContent, StoreMode aMode);
+  /** When the last call for a content came by a door. */
+  Instant LastCallAt(std::size_t aDoor, StoreContent aContent) const;
   /** Discards the change history; a watch from an earlier revision gets a
    * 410. */
   void CompactHistory();
@@ -56,22 +73,33 @@
     std::optional<Item> item;
   };
 
-  boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
-  boost::asio::awaitable<EdgeResponse> Respond(std::string aTarget);
+  /** An address of the store, and what happens to the calls there. */
+  struct Door
+  {
+    std::string address;
+    std::map<StoreContent, StoreMode> modes;
+    std::map<StoreContent, Instant> lastCallAt;
+    std::unique_ptr<EdgeListener> listener;
+  };
+
+  boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient, Door& aDoor);
+  boost::asio::awaitable<EdgeResponse> Respond(std::string aTarget,
+                                               const Door& aDoor);
+  StoreMode ModeOf(const Door& aDoor, StoreContent aContent) const;
   EdgeResponse List(const std::string& aPrefix,
                     const std::string& aAfter) const;
   boost::asio::awaitable<EdgeResponse> Watch(std::string aPrefix,
                                              std::uint64_t aAfterRevision,
-                                             std::uint64_t aWaitMs);
+                                             std::uint64_t aWaitMs,
+                                             const Door& aDoor);
   std::optional<EdgeResponse> Changes(const std::string& aPrefix,
                                       std::uint64_t aAfterRevision) const;
   EdgeResponse NoChanges() const;
   void AppendChange(Change aChange);
   void WakePendingWatches();
 
-  std::string address_;
   boost::asio::io_context& loop_;
-  EdgeListener listener_;
+  std::deque<Door> doors_; ///< The first one has no mode of its own.
   std::set<boost::asio::steady_timer*>
     pendingWatches_; ///< Timers of watches that wait for a change.
   std::map<std::string, Item> items_;
