Log who reads which part of the store, and requests for newer versions

Cause: no log line tells whether the readers of the store were gone, read one part only, or had a version that did not reach a gateway. No logic changes.

--- a/core/gateway/store_knowledge.h
+++ b/core/gateway/store_knowledge.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -19,6 +20,11 @@
   Backends,
 };
 
+constexpr std::string_view NameOf(StorePart aPart)
+{
+  return aPart == StorePart::Configuration ? "configuration" : "backends";
+}
+
 /** Stands for the age of what is not known at all. */
 inline constexpr Duration kUnknownAge = std::chrono::hours(1);
 
@@ -54,6 +60,13 @@
   void RemovePeer(std::string_view aPeer);
   /** The version that this gateway has. */
   void OnVersion(std::uint64_t aVersion) { version_ = aVersion; }
+  /** The store has responded to a call for this part. */
+  void OnRead(Instant aNow) { readAt_ = aNow; }
+  /** Time since the store last responded to a call for this part. */
+  Duration ReadAge(Instant aNow) const
+  {
+    return readAt_ ? std::min(kUnknownAge, aNow - *readAt_) : kUnknownAge;
+  }
 
   /** Whether this gateway is to read the store, by the live peers. */
   bool IsReader(std::span<const std::string> aLive) const;
@@ -72,6 +85,7 @@
 
   std::uint64_t ownWeight_;
   std::uint64_t version_ = 0;
+  std::optional<Instant> readAt_;
   std::map<std::string, Peer, std::less<>> peers_;
 };
 
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -225,6 +225,10 @@
   const std::vector<std::string> live = LivePeers(LeavingPeers::Include);
   // A newer configuration is requested even while the store responds.
   if (const auto source = state_.configurationKnowledge.ChooseSource(live)) {
+    state_.log.Write(
+      LogClass::StateChange,
+      "configuration-requested",
+      { { "peer", *source }, { "version", platformState_.Version() } });
     SendTo(*source, ManifestRequest{});
   }
   const auto source = state_.backendKnowledge.ChooseSource(live);
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -63,6 +63,25 @@
   asio::co_spawn(state_.loop, Follow(StorePart::Backends), asio::detached);
 }
 
+void StoreFollower::SetReading(StorePart aPart, bool aIsReading)
+{
+  const bool wasReading = reading_.contains(aPart);
+  if (wasReading == aIsReading) {
+    return;
+  }
+  if (aIsReading) {
+    reading_.insert(aPart);
+  } else {
+    reading_.erase(aPart);
+  }
+  state_.log.Write(
+    LogClass::StateChange,
+    "store-reading",
+    { { "part", NameOf(aPart) },
+      { "reads", aIsReading ? 1U : 0U },
+      { "read-age", state_.Knowledge(aPart).ReadAge(Now().steady) } });
+}
+
 asio::awaitable<void> StoreFollower::Pause(Duration aTime)
 {
   asio::steady_timer timer(state_.loop, aTime);
@@ -183,14 +202,18 @@
   bool isListed = false;
   Duration retryDelay = kMinRetryDelay;
   for (;;) {
-    if (!isReader_()) {
+    const bool isReader = isReader_();
+    SetReading(aPart, isReader);
+    if (!isReader) {
       isListed = false;
       co_await Pause(kReaderCheckInterval);
       continue;
     }
     if (!isListed) {
       isListed = co_await List(aPart, revision);
-      if (!isListed) {
+      if (isListed) {
+        state_.Knowledge(aPart).OnRead(Now().steady);
+      } else {
         co_await Pause(Jittered(retryDelay));
         retryDelay = std::min(retryDelay * 2, kMaxRetryDelay);
       }
@@ -207,6 +230,7 @@
         retryDelay = kMinRetryDelay;
         revision = std::max(revision, reply.response.revision);
         Adopt(aPart, reply.response);
+        state_.Knowledge(aPart).OnRead(Now().steady);
         if (aPart == StorePart::Backends && !reply.response.backends.empty()) {
           co_await Pause(kChangePause);
         }
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <set>
 #include <string>
 
 namespace gypsum {
@@ -50,11 +51,14 @@
   boost::asio::awaitable<bool> List(StorePart aPart, std::uint64_t& aRevision);
   boost::asio::awaitable<Reply> Call(std::string aTarget, Duration aWait);
   boost::asio::awaitable<void> Pause(Duration aTime);
+  /** Notes whether this gateway reads a part of the store. */
+  void SetReading(StorePart aPart, bool aIsReading);
   void Adopt(StorePart aPart, const StoreResponse& aResponse);
 
   GatewayState& state_;
   PlatformState& platformState_;
   IsReader isReader_;
+  std::set<StorePart> reading_;
 };
 
 } // namespace gypsum
