Let each gateway judge the age of its own knowledge of the store

What callers saw: routes refused with 404, and requests sent to servers that drain, seconds after the store had acknowledged the change. Cause: a gateway that doesn't read the store trusted that others do. It noticed the loss of all readers by their silence (0.9 s, and a second for each eight peers), or by the age of any response of the store, also of one for the other part. Nothing told it how old its own knowledge was. Change: StoreKnowledge keeps for each part, configuration and backend servers, the moment up to which the store has confirmed the own version. Gateways ask peers for theirs (an age counts from the question on, so that messages that were under way, or read after a stop, make nothing younger); at 1.1 s each reads the store itself, spread by rank over 0.4 s. Newer versions are announced at once and fetched from whoever announced them, one request at a time. Four readers with watches of 0.7 s replace eight with 1.5 s; a reader whose registry peers kept current doesn't list it again. Logs and metrics name the age and the source by part.

--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -9,6 +9,7 @@
 #include "core/gateway/trait_trials.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/resume_policy.h"
+#include "core/gateway/store_knowledge.h"
 #include "core/gateway/stream_origins.h"
 #include "core/time.h"
 
@@ -33,8 +34,8 @@
   std::string zone;
   bool isLeaving = false;
   double processorShare = 1.0;
-  std::uint64_t registryRevision = 0;
-  Duration storeAge{};            ///< Time since the store last answered.
+  KnowledgeClaim configuration;
+  KnowledgeClaim backends;
   std::vector<std::string> peers; ///< Peers it receives messages from.
   std::vector<BackendLoad> loads;
   std::vector<ServiceWait> waits; ///< For the queues that it owns.
@@ -45,6 +46,20 @@
   std::vector<LeavingBackend> leaving; ///< By their own word.
 };
 
+/** Asks what the receiver knows of the store. */
+struct KnowledgeRequest
+{
+  std::int64_t number = 0; ///< Copied to the reply.
+};
+
+/** What the sender knows of the store; number zero if nobody asked. */
+struct KnowledgeReply
+{
+  std::int64_t number = 0;
+  KnowledgeClaim configuration;
+  KnowledgeClaim backends;
+};
+
 /** A backend server has just said that it leaves. */
 struct LeavingNotice
 {
--- a/core/gateway/store_knowledge.cpp
+++ b/core/gateway/store_knowledge.cpp
@@ -3,11 +3,15 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace gypsum {
 
-StoreKnowledge::StoreKnowledge(std::string_view aOwnAddress)
+StoreKnowledge::StoreKnowledge(std::string_view aOwnAddress,
+                               std::uint64_t aSeed)
   : ownWeight_(WeightOf(aOwnAddress))
+  , random_(static_cast<std::uint_fast32_t>(aSeed))
 {
 }
 
@@ -17,14 +21,89 @@
   return RendezvousWeight(kKey, aAddress);
 }
 
-void StoreKnowledge::OnClaim(const std::string& aPeer,
-                             const KnowledgeClaim& aClaim)
+bool StoreKnowledge::IsSilent(const std::optional<Instant>& aAskedAt,
+                              Duration aTimeout,
+                              Instant aNow)
+{
+  return aAskedAt && aNow - *aAskedAt >= aTimeout &&
+         aNow - *aAskedAt < kSilentPeerPause;
+}
+
+StoreKnowledge::Peer& StoreKnowledge::PeerOf(const std::string& aAddress)
 {
-  const auto [found, isNew] = peers_.try_emplace(aPeer);
+  const auto [found, isNew] = peers_.try_emplace(aAddress);
   if (isNew) {
-    found->second.weight = WeightOf(aPeer);
+    found->second.weight = WeightOf(aAddress);
+  }
+  return found->second;
+}
+
+const StoreKnowledge::Peer* StoreKnowledge::Find(
+  std::string_view aAddress) const
+{
+  const auto found = peers_.find(aAddress);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+void StoreKnowledge::OnClaim(const std::string& aPeer,
+                             const KnowledgeClaim& aClaim,
+                             Instant aNow)
+{
+  Peer& peer = PeerOf(aPeer);
+  peer.claim = aClaim;
+  peer.claimedAt = aNow;
+}
+
+void StoreKnowledge::OnAnswer(const std::string& aPeer,
+                              const KnowledgeClaim& aClaim,
+                              Instant aAskedAt,
+                              Instant aNow)
+{
+  OnClaim(aPeer, aClaim, aNow);
+  PeerOf(aPeer).askedAt.reset();
+  if (aClaim.age >= kUnknownAge) {
+    return;
+  }
+  const Instant upTo = aAskedAt - aClaim.age;
+  if (aClaim.version <= version_) {
+    Confirm(upTo, aPeer);
+  } else if (!pending_ || pending_->upTo < upTo) {
+    pending_ = { aClaim.version, upTo, aPeer };
   }
-  found->second.claim = aClaim;
+}
+
+void StoreKnowledge::OnRead(Instant aUpTo)
+{
+  readAt_ = readAt_ ? std::max(*readAt_, aUpTo) : aUpTo;
+  Confirm(aUpTo, "store");
+}
+
+void StoreKnowledge::OnVersion(std::uint64_t aVersion)
+{
+  if (aVersion <= version_) {
+    return;
+  }
+  version_ = aVersion;
+  fetchingSince_.reset();
+  for (auto& [address, peer] : peers_) {
+    peer.fetchedAt.reset();
+  }
+  if (pending_ && pending_->version <= version_) {
+    Confirm(pending_->upTo, pending_->source);
+    pending_.reset();
+  }
+}
+
+void StoreKnowledge::Confirm(Instant aUpTo, std::string_view aSource)
+{
+  if (confirmedAt_ && aUpTo <= *confirmedAt_) {
+    return;
+  }
+  if (!confirmedAt_ || aUpTo - *confirmedAt_ > kMaxGap) {
+    followedSince_ = aUpTo;
+  }
+  confirmedAt_ = aUpTo;
+  source_ = aSource;
 }
 
 void StoreKnowledge::RemovePeer(std::string_view aPeer)
@@ -35,31 +114,129 @@
   }
 }
 
-bool StoreKnowledge::IsReader(std::span<const std::string> aLive) const
+bool StoreKnowledge::HasRead(Instant aNow) const
 {
-  const auto before =
-    std::ranges::count_if(aLive, [&](const std::string& aAddress) {
-      const auto found = peers_.find(aAddress);
-      // A peer that gets no response from the store does not count as a reader.
-      return found != peers_.end() && found->second.weight > ownWeight_ &&
-             found->second.claim.readAge < kReaderTimeout;
-    });
-  return static_cast<std::size_t>(before) < kMaxReaders;
+  return readAt_ && aNow - *readAt_ < kReaderTimeout;
+}
+
+bool StoreKnowledge::IsReader(std::span<const std::string> aLive, Instant aNow)
+{
+  std::size_t rank = 0;
+  std::size_t readersBefore = 0;
+  for (const std::string& address : aLive) {
+    const Peer* const peer = Find(address);
+    if (peer && peer->weight > ownWeight_) {
+      ++rank;
+      readersBefore += peer->claim.readAge < kReaderTimeout ? 1 : 0;
+    }
+  }
+  const Duration turn = kTakeoverSpread * static_cast<std::int64_t>(rank) /
+                        static_cast<std::int64_t>(aLive.size() + 1);
+  if (Age(aNow) >= kTakeoverAge + turn) {
+    readsUntil_ = aNow + kTakeoverTime;
+  }
+  return readersBefore < kMaxReaders || aNow < readsUntil_;
+}
+
+std::optional<std::string> StoreKnowledge::ChooseWitness(
+  std::span<const std::string> aLive,
+  Instant aNow)
+{
+  const Duration age = Age(aNow);
+  const bool isUrgent = age >= kUrgentAge;
+  const bool isDue = isUrgent || (age >= kAskAge && !HasRead(aNow));
+  if (!isDue ||
+      aNow - lastAskedAt_ < (isUrgent ? kUrgentAskInterval : kAskAge)) {
+    return std::nullopt;
+  }
+  std::vector<std::pair<Duration, const std::string*>> candidates;
+  for (const std::string& address : aLive) {
+    const Peer* const peer = Find(address);
+    if (!peer || IsSilent(peer->askedAt, kAnswerTimeout, aNow)) {
+      continue;
+    }
+    // Readers are asked in turn; if they don't help, whoever knew most lately.
+    const bool isReader = peer->claim.readAge < kReaderTimeout;
+    candidates.emplace_back(isReader && !isUrgent
+                              ? Duration{}
+                              : peer->claim.age + (aNow - peer->claimedAt),
+                            &address);
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  std::ranges::shuffle(candidates, random_);
+  const std::string& chosen =
+    *std::ranges::min_element(
+       candidates, {}, &std::pair<Duration, const std::string*>::first)
+       ->second;
+  lastAskedAt_ = aNow;
+  Peer& peer = PeerOf(chosen);
+  if (!peer.askedAt || aNow - *peer.askedAt >= kSilentPeerPause) {
+    peer.askedAt = aNow;
+  }
+  return chosen;
+}
+
+bool StoreKnowledge::IsWorthAsking(const std::string& aPeer, Instant aNow) const
+{
+  const Peer* const peer = Find(aPeer);
+  const Duration age = Age(aNow);
+  return peer && age >= kUrgentAge && peer->claim.age + kAskAge < age &&
+         (!peer->askedAt || aNow - *peer->askedAt >= kAnswerTimeout);
 }
 
 std::optional<std::string> StoreKnowledge::ChooseSource(
-  std::span<const std::string> aLive) const
+  std::span<const std::string> aLive,
+  Instant aNow)
 {
-  std::uint64_t newest = version_;
-  std::optional<std::string> source;
+  if (fetchingSince_ && aNow - *fetchingSince_ < kFetchTimeout) {
+    return std::nullopt;
+  }
+  const std::string* source = nullptr;
+  const Peer* best = nullptr;
+  const auto rankOf = [](const Peer& aPeer) {
+    return std::pair(aPeer.claim.version, aPeer.claimedAt);
+  };
   for (const std::string& address : aLive) {
-    const auto found = peers_.find(address);
-    if (found != peers_.end() && found->second.claim.version > newest) {
-      newest = found->second.claim.version;
-      source = address;
+    const Peer* const peer = Find(address);
+    const bool isCandidate = peer && peer->claim.version > version_ &&
+                             !IsSilent(peer->fetchedAt, kFetchTimeout, aNow);
+    if (isCandidate && (!best || rankOf(*peer) > rankOf(*best))) {
+      best = peer;
+      source = &address;
     }
   }
-  return source;
+  if (!source) {
+    return std::nullopt;
+  }
+  fetchingSince_ = aNow;
+  PeerOf(*source).fetchedAt = aNow;
+  return *source;
+}
+
+KnowledgeClaim StoreKnowledge::Claim(Instant aNow) const
+{
+  return { version_, Age(aNow), ReadAge(aNow) };
+}
+
+Duration StoreKnowledge::AgeAt(std::string_view aPeer, Instant aNow) const
+{
+  const Peer* const peer = Find(aPeer);
+  return peer
+           ? std::min(kUnknownAge, peer->claim.age + (aNow - peer->claimedAt))
+           : kUnknownAge;
+}
+
+Duration StoreKnowledge::ReadAge(Instant aNow) const
+{
+  return readAt_ ? std::min(kUnknownAge, aNow - *readAt_) : kUnknownAge;
+}
+
+Duration StoreKnowledge::Age(Instant aNow) const
+{
+  return confirmedAt_ ? std::min(kUnknownAge, aNow - *confirmedAt_)
+                      : kUnknownAge;
 }
 
 } // namespace gypsum
--- a/core/messages.h
+++ b/core/messages.h
@@ -184,7 +184,9 @@
                               LimitNotice,
                               LimitQuestion,
                               LimitAnswer,
-                              LeavingNotice>;
+                              LeavingNotice,
+                              KnowledgeRequest,
+                              KnowledgeReply>;
 
 /** A message between two processes. */
 struct PeerMessage
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -128,6 +128,13 @@
   aTo.set_age_us(aFrom.age.count());
 }
 
+void Fill(proto::KnowledgeClaim& aTo, const KnowledgeClaim& aFrom)
+{
+  aTo.set_version(aFrom.version);
+  aTo.set_age_us(static_cast<std::uint64_t>(aFrom.age.count()));
+  aTo.set_read_age_us(static_cast<std::uint64_t>(aFrom.readAge.count()));
+}
+
 void FillBody(proto::Envelope& aTo, const GatewayStatus& aFrom)
 {
   proto::GatewayNews& to = *aTo.mutable_gateway_news();
@@ -135,8 +142,8 @@
   to.set_zone(aFrom.zone);
   to.set_is_leaving(aFrom.isLeaving);
   to.set_processor_share(aFrom.processorShare);
-  to.set_registry_revision(aFrom.registryRevision);
-  to.set_store_age_us(aFrom.storeAge.count());
+  Fill(*to.mutable_configuration(), aFrom.configuration);
+  Fill(*to.mutable_backends(), aFrom.backends);
   to.mutable_peers()->Add(aFrom.peers.begin(), aFrom.peers.end());
   for (const BackendLoad& load : aFrom.loads) {
     proto::BackendLoad& item = *to.add_loads();
@@ -303,6 +310,19 @@
   to.set_retry_after_us(aFrom.grant.retryAfter.count());
 }
 
+void FillBody(proto::Envelope& aTo, const KnowledgeRequest& aFrom)
+{
+  aTo.mutable_knowledge_request()->set_number(aFrom.number);
+}
+
+void FillBody(proto::Envelope& aTo, const KnowledgeReply& aFrom)
+{
+  proto::KnowledgeReply& to = *aTo.mutable_knowledge_reply();
+  to.set_number(aFrom.number);
+  Fill(*to.mutable_configuration(), aFrom.configuration);
+  Fill(*to.mutable_backends(), aFrom.backends);
+}
+
 void FillBody(proto::Envelope& aTo, const LeavingNotice& aFrom)
 {
   Fill(*aTo.mutable_leaving_notice(), aFrom.leaving);
@@ -576,6 +596,22 @@
   return { aFrom.backend(), aFrom.started_ms(), ReadAge(aFrom.age_us()) };
 }
 
+/** A missing or excessive age is an unknown one. */
+KnowledgeClaim Read(bool aIsPresent, const proto::KnowledgeClaim& aFrom)
+{
+  if (!aIsPresent) {
+    return {};
+  }
+  const auto readAge = [](std::uint64_t aMicroseconds) {
+    const auto longest = static_cast<std::uint64_t>(kUnknownAge.count());
+    return Duration(
+      static_cast<std::int64_t>(std::min(longest, aMicroseconds)));
+  };
+  return { aFrom.version(),
+           readAge(aFrom.age_us()),
+           readAge(aFrom.read_age_us()) };
+}
+
 GatewayStatus Read(const proto::GatewayNews& aFrom)
 {
   GatewayStatus status;
@@ -583,8 +619,8 @@
   status.zone = aFrom.zone();
   status.isLeaving = aFrom.is_leaving();
   status.processorShare = aFrom.processor_share();
-  status.registryRevision = aFrom.registry_revision();
-  status.storeAge = Duration(aFrom.store_age_us());
+  status.configuration = Read(aFrom.has_configuration(), aFrom.configuration());
+  status.backends = Read(aFrom.has_backends(), aFrom.backends());
   status.peers = ToStrings(aFrom.peers());
   for (const proto::BackendLoad& load : aFrom.loads()) {
     status.loads.push_back(
@@ -806,6 +842,15 @@
       return LimitAnswer{ aFrom.limit_answer().number(),
                           { aFrom.limit_answer().is_granted(),
                             ReadAge(aFrom.limit_answer().retry_after_us()) } };
+    case proto::Envelope::kKnowledgeRequest:
+      return KnowledgeRequest{ aFrom.knowledge_request().number() };
+    case proto::Envelope::kKnowledgeReply: {
+      const proto::KnowledgeReply& reply = aFrom.knowledge_reply();
+      return KnowledgeReply{ reply.number(),
+                             Read(reply.has_configuration(),
+                                  reply.configuration()),
+                             Read(reply.has_backends(), reply.backends()) };
+    }
     case proto::Envelope::kLeavingNotice:
       return LeavingNotice{ Read(aFrom.leaving_notice()) };
     case proto::Envelope::BODY_NOT_SET:
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -73,12 +73,15 @@
   : state_(loop_, aSettings, MakeProcessId(aSettings), aLog)
   , platformState_(state_)
   , peers_(state_, platformState_)
+  , knowledge_(state_, platformState_, peers_)
   , limits_(state_, peers_)
   , observer_(state_, peers_, limits_)
   , crashes_(state_, peers_)
   , pieces_(state_, peers_, limits_, crashes_, observer_)
   , origins_(state_, peers_)
-  , store_(state_, platformState_, [this] { return peers_.IsStoreReader(); })
+  , store_(state_,
+           platformState_,
+           [this](StorePart aPart) { return knowledge_.IsReader(aPart); })
   , requests_(state_, peers_, pieces_, origins_, crashes_, limits_, observer_)
   , reload_(std::move(aReload))
   , clientListener_(loop_,
@@ -106,7 +109,8 @@
   }
   peers_.SetHandler(
     [this](Route aRoute, const PeerHeader& aHeader, PeerBody aBody) {
-      if (!origins_.OnPeerMessage(aRoute, aHeader, aBody) &&
+      if (!knowledge_.OnPeerMessage(aRoute, aHeader, aBody) &&
+          !origins_.OnPeerMessage(aRoute, aHeader, aBody) &&
           !crashes_.OnPeerMessage(aRoute, aHeader, aBody) &&
           !limits_.OnPeerMessage(aRoute, aHeader, aBody)) {
         pieces_.OnPeerMessage(std::move(aRoute), aHeader, std::move(aBody));
@@ -116,6 +120,12 @@
   peers_.SetCrashStatus(
     [this](GatewayStatus& aStatus) { crashes_.FillStatus(aStatus); },
     [this](const GatewayStatus& aStatus) { crashes_.OnPeerStatus(aStatus); });
+  peers_.SetClaimsHandler(
+    [this](const std::string& aPeer, const GatewayStatus& aStatus) {
+      knowledge_.OnPeerStatus(aPeer, aStatus);
+    });
+  platformState_.SetVersionObserver(
+    [this](StorePart) { knowledge_.Announce(); });
   peers_.SetLimitsHandler(
     [this](const std::string& aPeer, std::span<const BackendLimit> aLimits) {
       limits_.OnPeerLimits(aPeer, aLimits);
@@ -149,6 +159,7 @@
     metricsListener_->Start();
   }
   peers_.Start();
+  knowledge_.Start();
   pieces_.Start();
   store_.Start();
   asio::co_spawn(loop_, HandleSignals(), asio::detached);
@@ -203,6 +214,14 @@
     "",
     "",
     std::chrono::duration<double>(now - state_.lastStoreResponseAt).count());
+  for (const StorePart part :
+       { StorePart::Configuration, StorePart::Backends }) {
+    metrics.Set(
+      "store_knowledge_age_seconds",
+      "part",
+      NameOf(part),
+      std::chrono::duration<double>(state_.Knowledge(part).Age(now)).count());
+  }
   metrics.Set("peers", "", "", static_cast<double>(peers_.LiveGateways() - 1));
   metrics.Set("client_connections",
               "",
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -4,6 +4,7 @@
 #include "drivers/edge/edge_listener.h"
 #include "servers/gateway/crash_service.h"
 #include "servers/gateway/gateway_state.h"
+#include "servers/gateway/knowledge_service.h"
 #include "servers/gateway/limit_service.h"
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
@@ -55,6 +56,7 @@
   GatewayState state_;
   PlatformState platformState_;
   PeerExchange peers_;
+  KnowledgeService knowledge_;
   LimitService limits_;
   ResponseObserver observer_;
   CrashService crashes_;
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -37,8 +37,8 @@
     , settings(std::move(aSettings))
     , self(std::move(aSelf))
     , log(aLog)
-    , configurationKnowledge(settings.peerAddress)
-    , backendKnowledge(settings.peerAddress)
+    , configurationKnowledge(settings.peerAddress, self.incarnation)
+    , backendKnowledge(settings.peerAddress, self.incarnation)
     , retryBudget(settings.retryBudget)
     , pool(aLoop.get_executor())
   {
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -26,9 +26,6 @@
 constexpr Duration kCandidateTimeout = std::chrono::seconds(10);
 /** How long a peer must have been live before it may own queues. */
 constexpr Duration kMinOwnerUptime = std::chrono::milliseconds(600);
-/** Time without a response of the store after which the registry is requested
- * from peers. */
-constexpr Duration kStoreTimeout = std::chrono::milliseconds(700);
 
 std::string HostOf(std::string_view aAddress)
 {
@@ -93,8 +90,8 @@
   status.zone = state_.settings.zone;
   status.isLeaving = state_.IsStopping();
   status.processorShare = state_.settings.processorShare;
-  status.registryRevision = state_.registry.Revision();
-  status.storeAge = now - state_.lastStoreResponseAt;
+  status.configuration = state_.configurationKnowledge.Claim(now);
+  status.backends = state_.backendKnowledge.Claim(now);
   for (const auto& [address, peer] : peers_) {
     if (IsLive(peer, now)) {
       status.peers.push_back(address);
@@ -192,7 +189,6 @@
   asio::steady_timer timer(state_.loop);
   for (;;) {
     SendStatusNow();
-    RequestMissingUpdates();
     const Instant now = Now().steady;
     std::erase_if(peers_, [&](const auto& aItem) {
       if (now - aItem.second.lastReceivedAt < kCandidateTimeout) {
@@ -215,28 +211,6 @@
   }
 }
 
-void PeerExchange::RequestMissingUpdates()
-{
-  const Instant now = Now().steady;
-  const bool hasStoreAccess =
-    IsStoreReader() && now - state_.lastStoreResponseAt < kStoreTimeout;
-  state_.configurationKnowledge.OnVersion(platformState_.Version());
-  state_.backendKnowledge.OnVersion(state_.registry.Revision());
-  const std::vector<std::string> live = LivePeers(LeavingPeers::Include);
-  // A newer configuration is requested even while the store responds.
-  if (const auto source = state_.configurationKnowledge.ChooseSource(live)) {
-    state_.log.Write(
-      LogClass::StateChange,
-      "configuration-requested",
-      { { "peer", *source }, { "version", platformState_.Version() } });
-    SendTo(*source, ManifestRequest{});
-  }
-  const auto source = state_.backendKnowledge.ChooseSource(live);
-  if (source && !hasStoreAccess) {
-    SendTo(*source, RegistryRequest{});
-  }
-}
-
 void PeerExchange::Receive(Route aRoute, PeerMessage aMessage)
 {
   const PeerHeader& header = aMessage.header;
@@ -271,28 +245,6 @@
     platformState_.OnLeaving(notice->leaving, header.sender.name);
     return;
   }
-  if (std::holds_alternative<ManifestRequest>(aMessage.body)) {
-    SendBack(aRoute,
-             header.sender.incarnation,
-             ManifestReply{ state_.configurationText });
-    return;
-  }
-  if (const auto* const reply = std::get_if<ManifestReply>(&aMessage.body)) {
-    if (!reply->text.empty() && header.revision > platformState_.Version()) {
-      platformState_.AdoptConfiguration(reply->text, header.sender.name);
-    }
-    return;
-  }
-  if (std::holds_alternative<RegistryRequest>(aMessage.body)) {
-    SendBack(aRoute,
-             header.sender.incarnation,
-             RegistryReply{ state_.registry.Snapshot() });
-    return;
-  }
-  if (const auto* const reply = std::get_if<RegistryReply>(&aMessage.body)) {
-    platformState_.ReplaceBackends(reply->list, header.sender.name);
-    return;
-  }
   if (handler_) {
     handler_(std::move(aRoute), header, std::move(aMessage.body));
   }
@@ -332,10 +284,6 @@
   }
   peer.id = aHeader.sender;
   peer.lastReceivedAt = now;
-  state_.configurationKnowledge.OnClaim(aStatus.address,
-                                        { aHeader.revision, aStatus.storeAge });
-  state_.backendKnowledge.OnClaim(
-    aStatus.address, { aStatus.registryRevision, aStatus.storeAge });
   state_.loads.OnPeerReport(aStatus.address, aStatus.loads, now);
   for (const PrefixRead& read : aStatus.reads) {
     state_.prefixes.OnPeerRead(read, now);
@@ -349,6 +297,9 @@
   } else {
     heardAt_[peer.status.address] = now;
   }
+  if (claimsHandler_) {
+    claimsHandler_(peer.status.address, peer.status);
+  }
   if (limitsHandler_) {
     limitsHandler_(peer.status.address, peer.status.limits);
   }
@@ -400,6 +351,14 @@
          found->second.id.incarnation == aIncarnation;
 }
 
+std::string PeerExchange::AddressOf(Incarnation aIncarnation) const
+{
+  const auto found = std::ranges::find_if(peers_, [&](const auto& aItem) {
+    return aItem.second.id.incarnation == aIncarnation;
+  });
+  return found == peers_.end() ? "" : found->first;
+}
+
 Incarnation PeerExchange::IncarnationOf(const std::string& aAddress) const
 {
   const auto found = peers_.find(aAddress);
@@ -449,11 +408,6 @@
   return std::max(LiveGateways(), 1 + heardAt_.size());
 }
 
-bool PeerExchange::IsStoreReader() const
-{
-  return state_.backendKnowledge.IsReader(LivePeers(LeavingPeers::Include));
-}
-
 void PeerExchange::SendTo(const std::string& aAddress, PeerBody aBody)
 {
   transport_.SendTo(aAddress,
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -27,8 +27,8 @@
 };
 
 /**
- * Exchanges state with the other gateways: periodic status messages, and the
- * configuration and registry for gateways without access to the store.
+ * Exchanges state with the other gateways in periodic status messages, and
+ * carries the messages of other services.
  *
  * Peers are discovered through the seed addresses and through the peers that
  * other gateways list in their status. Each round goes to a bounded number of
@@ -56,6 +56,10 @@
   using LimitsHandler =
     std::function<void(const std::string&, std::span<const BackendLimit>)>;
 
+  /** Called with the address of a peer and its status. */
+  using ClaimsHandler =
+    std::function<void(const std::string&, const GatewayStatus&)>;
+
   PeerExchange(GatewayState& aState, PlatformState& aPlatformState);
 
   /** Sets the handler of messages about pieces; call before `Start`. */
@@ -72,6 +76,11 @@
     crashStatusProvider_ = std::move(aProvider);
     crashStatusHandler_ = std::move(aHandler);
   }
+  /** Sets who hears what peers say of their knowledge of the store. */
+  void SetClaimsHandler(ClaimsHandler aHandler)
+  {
+    claimsHandler_ = std::move(aHandler);
+  }
   /** Sets who hears of the limits that peers know. */
   void SetLimitsHandler(LimitsHandler aHandler)
   {
@@ -87,6 +96,8 @@
   std::string OwnerOf(std::uint64_t aKey) const;
   /** Whether the peer is live and still has the given incarnation. */
   bool IsLive(const std::string& aAddress, Incarnation aIncarnation) const;
+  /** Address of the peer with an incarnation; empty if unknown. */
+  std::string AddressOf(Incarnation aIncarnation) const;
   /** Incarnation of the peer; zero if unknown. */
   Incarnation IncarnationOf(const std::string& aAddress) const;
   /** Expected wait in the peer's queue, from its last status: zero if the
@@ -94,8 +105,6 @@
   std::optional<Duration> QueueWaitAt(const std::string& aAddress,
                                       std::string_view aService,
                                       std::uint32_t aPriority) const;
-  /** Whether this gateway is one of those that read the store. */
-  bool IsStoreReader() const;
   /** Addresses of the live peers. */
   std::vector<std::string> LivePeers(LeavingPeers aLeaving) const;
   /** Number of live gateways, including this one. */
@@ -130,7 +139,6 @@
   /** Makes itself known to a peer that still knows the process before this. */
   void OnStatusForPredecessor(const PeerHeader& aHeader,
                               const GatewayStatus& aStatus);
-  void RequestMissingUpdates();
   bool IsLive(const Peer& aPeer, Instant aNow) const;
   PeerHeader HeaderFor(Incarnation aTarget) const;
   GatewayStatus OwnStatus() const;
@@ -144,6 +152,7 @@
   CrashStatusProvider crashStatusProvider_;
   CrashStatusHandler crashStatusHandler_;
   LimitsHandler limitsHandler_;
+  ClaimsHandler claimsHandler_;
   /** When each peer was heard that has not said that it leaves. */
   std::map<std::string, Instant, std::less<>> heardAt_;
   std::map<std::string, Peer, std::less<>> peers_;
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -15,8 +15,21 @@
   return state_.routes ? state_.routes->Configuration().version : 0;
 }
 
+void PlatformState::OnVersion(StorePart aPart, std::uint64_t aVersion)
+{
+  StoreKnowledge& knowledge = state_.Knowledge(aPart);
+  if (aVersion <= knowledge.Version()) {
+    return;
+  }
+  knowledge.OnVersion(aVersion);
+  if (versionObserver_) {
+    versionObserver_(aPart);
+  }
+}
+
 bool PlatformState::AdoptConfiguration(const std::string& aText,
-                                       std::string_view aSource)
+                                       std::string_view aSource,
+                                       Duration aAge)
 {
   auto decoded = DecodeConfiguration(aText);
   if (const auto* const fault = std::get_if<DecodeFault>(&decoded)) {
@@ -41,10 +54,12 @@
                    { { "version", adopted.version },
                      { "before", before },
                      { "source", aSource },
+                     { "age", aAge },
                      { "routes", adopted.routes.size() },
                      { "keys", adopted.customersByKey.size() } });
   state_.metrics.Set(
     "configuration_version", "", "", static_cast<double>(adopted.version));
+  OnVersion(StorePart::Configuration, adopted.version);
   return true;
 }
 
@@ -76,6 +91,7 @@
     OnRegistryEvents(state_.registry.Apply(change, Now().steady), aSource);
   }
   ObserveVersions();
+  OnVersion(StorePart::Backends, state_.registry.Revision());
 }
 
 void PlatformState::ReplaceBackends(const RegistrySnapshot& aSnapshot,
@@ -84,6 +100,7 @@
   ObserveVersions();
   OnRegistryEvents(state_.registry.Replace(aSnapshot, Now().steady), aSource);
   ObserveVersions();
+  OnVersion(StorePart::Backends, state_.registry.Revision());
 }
 
 bool PlatformState::OnLeaving(const LeavingBackend& aLeaving,
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -31,10 +31,20 @@
   {
     observer_ = std::move(aObserver);
   }
+  /** Called when a part has a newer version. */
+  using VersionObserver = std::function<void(StorePart)>;
+
+  void SetVersionObserver(VersionObserver aObserver)
+  {
+    versionObserver_ = std::move(aObserver);
+  }
 
   std::uint64_t Version() const;
-  /** Returns false if the text cannot be decoded; ignores older versions. */
-  bool AdoptConfiguration(const std::string& aText, std::string_view aSource);
+  /** Returns false if the text cannot be decoded; ignores older versions.
+   * `aAge` is that of the source's knowledge. */
+  bool AdoptConfiguration(const std::string& aText,
+                          std::string_view aSource,
+                          Duration aAge);
   void ApplyBackends(std::span<const RegistryChange> aChanges,
                      std::string_view aSource);
   void ReplaceBackends(const RegistrySnapshot& aSnapshot,
@@ -51,11 +61,13 @@
 
 private:
   void ObserveVersions();
+  void OnVersion(StorePart aPart, std::uint64_t aVersion);
   void OnRegistryEvents(std::span<const RegistryEvent> aEvents,
                         std::string_view aSource);
 
   GatewayState& state_;
   BackendObserver observer_;
+  VersionObserver versionObserver_;
   std::uint32_t failedStoreCalls_ = 0;
   Instant failingSince_{};
 };
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -595,8 +595,8 @@
       { "registry", state_.registry.Revision() },
       { "trait", aAttempt.refusedTrait },
       { "store-age", Now().steady - state_.lastStoreResponseAt },
-      { "configuration-read-age",
-        state_.configurationKnowledge.ReadAge(Now().steady) },
+      { "configuration-age", state_.configurationKnowledge.Age(Now().steady) },
+      { "configuration-source", state_.configurationKnowledge.Source() },
       { "retry-after", aRetryAfter },
       { "elapsed", elapsed } });
 }
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -21,16 +21,18 @@
 
 namespace {
 
-/** Maximum wait of a watch; bounds the delay caused by a dead connection. */
-constexpr Duration kMaxWatchWait = std::chrono::milliseconds(1'500);
+/** Maximum wait of a watch, and so the age of a reader's knowledge; bounds the
+ * delay caused by a dead connection. */
+constexpr Duration kMaxWatchWait = std::chrono::milliseconds(700);
 /** The store usually responds in a few ms, a slow one in a few hundred ms. */
 constexpr Duration kResponseTimeout = std::chrono::milliseconds(900);
-/** Pause after a watch that returned changes; a sixth of the drain bound. */
+/** Pause after a watch that returned changes of servers, which come in series.
+ */
 constexpr Duration kChangePause = std::chrono::milliseconds(350);
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1'000);
 /** How often a gateway checks whether it has become a reader. */
-constexpr Duration kReaderCheckInterval = std::chrono::milliseconds(250);
+constexpr Duration kReaderCheckInterval = std::chrono::milliseconds(50);
 /** Several items of the largest size; a gateway may use 260 MB. */
 constexpr std::size_t kMaxResponseBytes = 16'777'216;
 
@@ -94,6 +96,7 @@
 {
   Reply reply;
   const Instant begin = Now().steady;
+  reply.sentAt = begin;
   const Instant deadline = begin + aWait + kResponseTimeout;
   BackendExchange exchange(state_.pool, state_.settings.storeAddress);
   const ExchangeState connectState =
@@ -160,7 +163,8 @@
   }
   if (aPart == StorePart::Configuration) {
     if (aResponse.configuration) {
-      platformState_.AdoptConfiguration(aResponse.configuration->text, "store");
+      platformState_.AdoptConfiguration(
+        aResponse.configuration->text, "store", Duration{});
     }
     return;
   }
@@ -172,6 +176,7 @@
 {
   RegistrySnapshot list;
   std::string after;
+  Instant begin{};
   for (bool isFirst = true; isFirst || !after.empty(); isFirst = false) {
     Reply reply = co_await Call(StoreListTarget(aPart, after), Duration{});
     if (reply.kind != Reply::Kind::Success) {
@@ -181,6 +186,7 @@
     // first page, so that it includes changes during the listing.
     if (isFirst) {
       list.revision = reply.response.revision;
+      begin = reply.sentAt;
     }
     if (aPart == StorePart::Configuration) {
       Adopt(aPart, reply.response);
@@ -193,6 +199,56 @@
     platformState_.ReplaceBackends(list, "store");
   }
   aRevision = list.revision;
+  state_.Knowledge(aPart).OnRead(begin);
+  co_return true;
+}
+
+Duration StoreFollower::WatchWait(StorePart aPart)
+{
+  return std::max(Duration{},
+                  kMaxWatchWait - state_.Knowledge(aPart).Age(Now().steady));
+}
+
+asio::awaitable<bool> StoreFollower::Watch(StorePart aPart,
+                                           std::uint64_t& aRevision,
+                                           Duration& aRetryDelay)
+{
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(WatchWait(aPart));
+  Reply reply =
+    co_await Call(StoreWatchTarget(
+                    aPart, aRevision, static_cast<std::uint64_t>(wait.count())),
+                  wait);
+  switch (reply.kind) {
+    case Reply::Kind::Success: {
+      aRetryDelay = kMinRetryDelay;
+      aRevision = std::max(aRevision, reply.response.revision);
+      const bool hasChanges = reply.response.configuration.has_value() ||
+                              !reply.response.backends.empty();
+      Adopt(aPart, reply.response);
+      // Without a change the store has waited; with one, it may have responded
+      // at any time since the call.
+      const bool hasWaited = !hasChanges && Now().steady - reply.sentAt >= wait;
+      state_.Knowledge(aPart).OnRead(hasWaited ? reply.sentAt + wait
+                                               : reply.sentAt);
+      if (!reply.response.backends.empty()) {
+        co_await Pause(kChangePause);
+      } else if (!hasChanges && !hasWaited) {
+        co_await Pause(Jittered(kMinRetryDelay / 4));
+      }
+      break;
+    }
+    case Reply::Kind::HistoryUnavailable:
+      co_return false;
+    case Reply::Kind::Interrupted:
+      co_await Pause(Jittered(kMinRetryDelay / 4));
+      break;
+    case Reply::Kind::Failed:
+      co_await Pause(
+        Jittered(reply.isRateLimited ? kMaxRetryDelay : aRetryDelay));
+      aRetryDelay = std::min(aRetryDelay * 2, kMaxRetryDelay);
+      break;
+  }
   co_return true;
 }
 
@@ -200,54 +256,52 @@
 {
   std::uint64_t revision = 0;
   bool isListed = false;
+  bool hasHistory = true;
   Duration retryDelay = kMinRetryDelay;
   for (;;) {
-    const bool isReader = isReader_();
+    const bool isReader = isReader_(aPart);
     SetReading(aPart, isReader);
     if (!isReader) {
       isListed = false;
       co_await Pause(kReaderCheckInterval);
       continue;
     }
+    // A registry that peers have kept up to date needs no list.
+    if (!isListed && aPart == StorePart::Backends && hasHistory) {
+      revision = state_.registry.Revision();
+      isListed = revision > 0;
+    }
     if (!isListed) {
       isListed = co_await List(aPart, revision);
-      if (isListed) {
-        state_.Knowledge(aPart).OnRead(Now().steady);
-      } else {
+      hasHistory = hasHistory || isListed;
+      if (!isListed) {
         co_await Pause(Jittered(retryDelay));
         retryDelay = std::min(retryDelay * 2, kMaxRetryDelay);
       }
       continue;
     }
-    const auto wait =
-      std::chrono::duration_cast<std::chrono::milliseconds>(kMaxWatchWait);
-    Reply reply = co_await Call(
-      StoreWatchTarget(
-        aPart, revision, static_cast<std::uint64_t>(wait.count())),
-      kMaxWatchWait);
-    switch (reply.kind) {
-      case Reply::Kind::Success:
-        retryDelay = kMinRetryDelay;
-        revision = std::max(revision, reply.response.revision);
-        Adopt(aPart, reply.response);
-        state_.Knowledge(aPart).OnRead(Now().steady);
-        if (aPart == StorePart::Backends && !reply.response.backends.empty()) {
-          co_await Pause(kChangePause);
-        }
-        break;
-      case Reply::Kind::HistoryUnavailable:
-        isListed = false;
-        break;
-      case Reply::Kind::Interrupted:
-        co_await Pause(Jittered(kMinRetryDelay / 4));
-        break;
-      case Reply::Kind::Failed:
-        co_await Pause(
-          Jittered(reply.isRateLimited ? kMaxRetryDelay : retryDelay));
-        retryDelay = std::min(retryDelay * 2, kMaxRetryDelay);
-        break;
-    }
+    isListed = co_await Watch(aPart, revision, retryDelay);
+    hasHistory = isListed;
+  }
+}
+
+void StoreFollower::RequestBackendList()
+{
+  isListRequested_ = true;
+  if (!isListing_) {
+    isListing_ = true;
+    asio::co_spawn(state_.loop, ListOnRequest(), asio::detached);
+  }
+}
+
+asio::awaitable<void> StoreFollower::ListOnRequest()
+{
+  while (isListRequested_) {
+    isListRequested_ = false;
+    std::uint64_t ignored = 0;
+    co_await List(StorePart::Backends, ignored);
   }
+  isListing_ = false;
 }
 
 } // namespace gypsum
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -23,12 +23,15 @@
 class StoreFollower
 {
 public:
-  using IsReader = std::function<bool()>;
+  using IsReader = std::function<bool(StorePart)>;
 
   StoreFollower(GatewayState& aState,
                 PlatformState& aPlatformState,
                 IsReader aIsReader);
   void Start();
+  /** Lists the backend servers soon, whether this gateway is a reader or not.
+   */
+  void RequestBackendList();
 
 private:
   struct Reply
@@ -44,10 +47,18 @@
     };
     Kind kind = Kind::Failed;
     StoreResponse response;
+    Instant sentAt{};
     bool isRateLimited = false; ///< Status 429: too many calls.
   };
 
   boost::asio::awaitable<void> Follow(StorePart aPart);
+  boost::asio::awaitable<void> ListOnRequest();
+  /** Waits for a change; false if all entries have to be listed first. */
+  boost::asio::awaitable<bool> Watch(StorePart aPart,
+                                     std::uint64_t& aRevision,
+                                     Duration& aRetryDelay);
+  /** Longest wait for which the knowledge stays young enough. */
+  Duration WatchWait(StorePart aPart);
   boost::asio::awaitable<bool> List(StorePart aPart, std::uint64_t& aRevision);
   boost::asio::awaitable<Reply> Call(std::string aTarget, Duration aWait);
   boost::asio::awaitable<void> Pause(Duration aTime);
@@ -59,6 +70,8 @@
   PlatformState& platformState_;
   IsReader isReader_;
   std::set<StorePart> reading_;
+  bool isListRequested_ = false;
+  bool isListing_ = false;
 };
 
 } // namespace gypsum
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -201,6 +201,32 @@
   CHECK(limits[1].perSecond == 0.0);
 }
 
+TEST_CASE("[PeerCodec] what a gateway knows of the store is transferred "
+          "unchanged, and a missing age is unknown")
+{
+  const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
+  const KnowledgeClaim configuration{ 3, Duration(40), Duration(50) };
+  const KnowledgeClaim backends{ 17, Duration(60), kUnknownAge };
+  const auto request = Decode(Encode({ header, KnowledgeRequest{ 5 } }));
+  REQUIRE(request);
+  CHECK(std::get<KnowledgeRequest>(request->body).number == 5);
+  const auto reply =
+    Decode(Encode({ header, KnowledgeReply{ 5, configuration, backends } }));
+  REQUIRE(reply);
+  CHECK(std::get<KnowledgeReply>(reply->body).number == 5);
+  CHECK(std::get<KnowledgeReply>(reply->body).configuration == configuration);
+  CHECK(std::get<KnowledgeReply>(reply->body).backends == backends);
+  GatewayStatus status;
+  status.configuration = configuration;
+  status.backends = { 1, kUnknownAge * 2, Duration(5) };
+  const auto news = Decode(Encode({ header, status }));
+  REQUIRE(news);
+  const auto& copy = std::get<GatewayStatus>(news->body);
+  CHECK(copy.configuration == configuration);
+  CHECK(copy.backends.age == kUnknownAge);
+  CHECK(copy.backends.readAge == Duration(5));
+}
+
 TEST_CASE("[PeerCodec] a fleet update is transferred unchanged")
 {
   FleetUpdate update;
