--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -24,6 +24,7 @@
 constexpr int kControlPort = 18'628;
 constexpr int kMetricsPort = 18'464;
 constexpr int kPeerPort = 18'740;
+constexpr int kLonePeerPort = 18'741;
 constexpr int kReplicaPort = 18'800;
 constexpr int kStorePort = 18'624;
 constexpr int kFirstDoorPort = 19'000;
@@ -94,8 +95,9 @@
     gateway.logFile = folder_ / (name + ".log");
     gateways_.push_back(std::move(gateway));
   }
-  std::ranges::for_each(
-    gateways_, [&](const CellGateway& aGateway) { WriteSettings(aGateway); });
+  std::ranges::for_each(gateways_, [&](const CellGateway& aGateway) {
+    WriteSettings(aGateway, kPeerPort, gateways_.front().hostAddress);
+  });
   Publish();
 }
 
@@ -140,7 +142,14 @@
   return all;
 }
 
-void Cell::WriteSettings(const CellGateway& aGateway) const
+void Cell::Isolate(const CellGateway& aGateway) const
+{
+  WriteSettings(aGateway, kLonePeerPort, aGateway.hostAddress);
+}
+
+void Cell::WriteSettings(const CellGateway& aGateway,
+                         int aPeerPort,
+                         const std::string& aSeedHost) const
 {
   std::ofstream out(aGateway.settingsFile);
   out << "[gateway]\nname = "
@@ -150,8 +159,8 @@
       << "\nready = " << aGateway.readyAddress
       << "\ncontrol = " << WithPort(aGateway.hostAddress, kControlPort)
       << "\nmetrics = " << aGateway.metricsAddress
-      << "\nstore = " << aGateway.storeAddress << "\npeer_port = " << kPeerPort
-      << "\nseeds = " << WithPort(gateways_.front().hostAddress, kControlPort)
+      << "\nstore = " << aGateway.storeAddress << "\npeer_port = " << aPeerPort
+      << "\nseeds = " << WithPort(aSeedHost, kControlPort)
       << "\n[repeats]\nratio = 0.2\nextra = 40\nwindow_s = 10\n"
       << "[log]\nlevel = info\nlines_per_s = 1000\n";
 }
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -58,6 +58,9 @@
   /** Starts all gateways and waits until each is ready. */
   bool Start();
   void StartGateway(CellGateway& aGateway);
+  /** Keeps a gateway and the others from hearing each other; call it before the
+   * gateway starts. */
+  void Isolate(const CellGateway& aGateway) const;
   bool IsReady(const CellGateway& aGateway) const;
   bool WaitUntilReady(const CellGateway& aGateway) const;
   /** Response body of a GET on a gateway's metrics address. */
@@ -111,7 +114,9 @@
   Configuration configuration;
 
 private:
-  void WriteSettings(const CellGateway& aGateway) const;
+  void WriteSettings(const CellGateway& aGateway,
+                     int aPeerPort,
+                     const std::string& aSeedHost) const;
   std::string NextAttemptId();
   void AddReplicas(CellReplica::Kind aKind,
                    const std::string& aService,
