Resume streams by a list of versions only if it is complete now

What clients saw: a stream that had begun at one software version went on at another, at a gateway that was out of step during the release. Cause: ServiceVersions::Covers says since when the registry has been followed, never whether it still is, and one gateway that believes its list complete was enough, also when others did not answer. Change: without a record, a single version is taken if all gateways that may have begun the stream answer and have run since then, or if one has followed the registry without a gap and the store has confirmed it since the question; the gateway lists the servers for that. Else the resume is refused, as not run. With all answers no call of the store is made.

--- a/core/gateway/resume_policy.cpp
+++ b/core/gateway/resume_policy.cpp
@@ -7,7 +7,29 @@
 
 namespace gypsum {
 
+namespace {
+
+std::set<std::string_view> VersionsIn(
+  std::span<const OriginKnowledge> aKnowledge)
+{
+  std::set<std::string_view> versions;
+  for (const OriginKnowledge& one : aKnowledge) {
+    versions.insert(one.versions.begin(), one.versions.end());
+  }
+  return versions;
+}
+
+} // namespace
+
+bool NeedsCurrentRegistry(std::span<const OriginKnowledge> aKnowledge)
+{
+  return VersionsIn(aKnowledge).size() == 1 &&
+         std::ranges::any_of(aKnowledge,
+                             &OriginKnowledge::isVersionListComplete);
+}
+
 ResumeTarget ResolveOrigin(std::span<const OriginKnowledge> aKnowledge,
+                           const OriginCoverage& aCoverage,
                            std::string_view aService)
 {
   const auto record =
@@ -19,13 +41,14 @@
              record->origin->origin.service,
              record->origin->origin.version };
   }
-  std::set<std::string_view> versions;
-  for (const OriginKnowledge& one : aKnowledge) {
-    versions.insert(one.versions.begin(), one.versions.end());
-  }
-  const bool isComplete =
+  const std::set<std::string_view> versions = VersionsIn(aKnowledge);
+  const bool isFollowed =
+    aCoverage.isCurrent &&
     std::ranges::any_of(aKnowledge, &OriginKnowledge::isVersionListComplete);
-  if (versions.size() != 1 || !isComplete) {
+  const bool isAnswered =
+    aCoverage.haveAllAnswered &&
+    std::ranges::all_of(aKnowledge, &OriginKnowledge::hasRunSince);
+  if (versions.size() != 1 || !(isFollowed || isAnswered)) {
     return {};
   }
   return { OriginSource::OnlyVersion,
--- a/core/gateway/service_versions.h
+++ b/core/gateway/service_versions.h
@@ -23,7 +23,7 @@
   /** Versions of a service that were listed at some time since then. */
   std::vector<std::string> ListedSince(std::string_view aService,
                                        Instant aThen) const;
-  /** Whether the registry has been followed, and is remembered, since then. */
+  /** Whether versions have been listed, and are remembered, since then. */
   bool Covers(Instant aThen, Instant aNow) const;
 
 private:
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -284,6 +284,7 @@
   to.mutable_versions()->Add(aFrom.knowledge.versions.begin(),
                              aFrom.knowledge.versions.end());
   to.set_is_version_list_complete(aFrom.knowledge.isVersionListComplete);
+  to.set_has_run_since(aFrom.knowledge.hasRunSince);
 }
 
 void FillBody(proto::Envelope& aTo, const LimitNotice& aFrom)
@@ -720,6 +721,7 @@
   }
   reply.knowledge.versions = ToStrings(aFrom.versions());
   reply.knowledge.isVersionListComplete = aFrom.is_version_list_complete();
+  reply.knowledge.hasRunSince = aFrom.has_run_since();
   return reply;
 }
 
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -124,6 +124,7 @@
     [this](const std::string& aPeer, const GatewayStatus& aStatus) {
       knowledge_.OnPeerStatus(aPeer, aStatus);
     });
+  origins_.SetRegistryReader([this] { store_.RequestBackendList(); });
   platformState_.SetVersionObserver(
     [this](StorePart) { knowledge_.Announce(); });
   peers_.SetLimitsHandler(
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -200,7 +200,7 @@
       return true;
     });
     std::erase_if(heardAt_, [&](const auto& aItem) {
-      return now - aItem.second >= kRecentTime;
+      return now - aItem.second >= kMemory;
     });
     state_.retryBudget.SetGatewayCount(LiveGateways());
     timer.expires_after(now < startedAt_ + kDiscoveryTime ? kDiscoveryInterval
@@ -405,7 +405,11 @@
 
 std::size_t PeerExchange::RecentGateways() const
 {
-  return std::max(LiveGateways(), 1 + heardAt_.size());
+  const Instant now = Now().steady;
+  const auto recent = std::ranges::count_if(heardAt_, [&](const auto& aItem) {
+    return now - aItem.second < kRecentTime;
+  });
+  return std::max(LiveGateways(), 1 + static_cast<std::size_t>(recent));
 }
 
 void PeerExchange::SendTo(const std::string& aAddress, PeerBody aBody)
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -46,6 +46,8 @@
   static constexpr std::size_t kMaxPromptTargets = 24;
   /** Most cuts between gateways end within this time. */
   static constexpr Duration kRecentTime = std::chrono::seconds(60);
+  /** How long a peer is remembered that is no longer heard. */
+  static constexpr Duration kMemory = std::chrono::minutes(10);
 
   using Handler = std::function<void(Route, const PeerHeader&, PeerBody)>;
   using QueueWaitProvider = std::function<std::vector<ServiceWait>()>;
@@ -112,6 +114,8 @@
   /** The same, with those that were live within `kRecentTime` and have not said
    * that they leave. */
   std::size_t RecentGateways() const;
+  /** The same within `kMemory`. */
+  std::size_t KnownGateways() const { return 1 + heardAt_.size(); }
 
   void SendTo(const std::string& aAddress, PeerBody aBody);
   void SendBack(const Route& aRoute, Incarnation aTarget, PeerBody aBody);
--- a/servers/gateway/stream_origin_service.cpp
+++ b/servers/gateway/stream_origin_service.cpp
@@ -24,6 +24,9 @@
  * status messages, and a connection that is set up meanwhile. */
 constexpr Duration kDiscoveryTime = std::chrono::milliseconds(1'000);
 constexpr Duration kDiscoveryPollInterval = std::chrono::milliseconds(50);
+/** The store responds in a few ms, a slow one in a few hundred ms. */
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(600);
+constexpr Duration kStorePollInterval = std::chrono::milliseconds(5);
 
 } // namespace
 
@@ -87,9 +90,14 @@
 {
   const Instant now = Now().steady;
   const Instant earliest = now - aQuestion.maxAge;
+  const StoreKnowledge& registry = state_.backendKnowledge;
+  const bool hasRunSince = state_.versions.Covers(earliest, now);
   return { origins_.Find(aQuestion.attempt, now),
            state_.versions.ListedSince(aQuestion.service, earliest),
-           state_.versions.Covers(earliest, now) };
+           hasRunSince,
+           hasRunSince && registry.FollowedSince() &&
+             *registry.FollowedSince() <= earliest &&
+             registry.Age(now) <= StoreKnowledge::kMaxGap };
 }
 
 void StreamOriginService::AskPeers(std::uint64_t aNumber, Lookup& aLookup)
@@ -102,34 +110,74 @@
   }
 }
 
-asio::awaitable<ResumeTarget> StreamOriginService::Find(
-  ResumeQuestion aQuestion)
+asio::awaitable<void> StreamOriginService::AskAllPeers(
+  std::uint64_t aNumber,
+  std::shared_ptr<Lookup> aLookup)
 {
-  const Instant begin = Now().steady;
   // A gateway that has just started doesn't know all of its peers yet.
   const Instant discoveredAt = startedAt_ + kDiscoveryTime;
-  const Instant deadline = std::max(begin + kReplyTimeout, discoveredAt);
+  const Instant deadline =
+    std::max(aLookup->begin + kReplyTimeout, discoveredAt);
+  while (!aLookup->hasRecord && Now().steady < deadline) {
+    AskPeers(aNumber, *aLookup);
+    if (aLookup->missingReplies == 0 && Now().steady >= discoveredAt) {
+      break;
+    }
+    aLookup->changed.expires_at(
+      std::min(deadline, Now().steady + kDiscoveryPollInterval));
+    boost::system::error_code ignored;
+    co_await aLookup->changed.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+asio::awaitable<void> StreamOriginService::UpdateVersions(
+  std::shared_ptr<Lookup> aLookup)
+{
+  const Instant begin = Now().steady;
+  readRegistry_();
+  while (!CoverageOf(*aLookup).isCurrent &&
+         Now().steady - begin < kStoreTimeout) {
+    aLookup->changed.expires_after(kStorePollInterval);
+    boost::system::error_code ignored;
+    co_await aLookup->changed.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  aLookup->knowledge.push_back(LocalKnowledge(aLookup->question));
+}
+
+OriginCoverage StreamOriginService::CoverageOf(const Lookup& aLookup) const
+{
+  const auto confirmedAt = state_.backendKnowledge.ConfirmedAt();
+  // The replies of peers come behind the own knowledge.
+  const std::size_t known = peers_.KnownGateways();
+  return { confirmedAt && *confirmedAt >= aLookup.begin,
+           known > 1 && aLookup.missingReplies == 0 &&
+             aLookup.knowledge.size() >= known };
+}
+
+asio::awaitable<ResumeTarget> StreamOriginService::Find(
+  ResumeQuestion aQuestion)
+{
   const std::uint64_t number = ++lastLookup_;
   auto lookup = std::make_shared<Lookup>(state_.loop);
+  lookup->begin = Now().steady;
   lookup->question = std::move(aQuestion);
   const ResumeQuestion& question = lookup->question;
   lookup->knowledge.push_back(LocalKnowledge(question));
   lookup->hasRecord = lookup->knowledge.front().origin.has_value();
   lookups_[number] = lookup;
-  while (!lookup->hasRecord && Now().steady < deadline) {
-    AskPeers(number, *lookup);
-    if (lookup->missingReplies == 0 && Now().steady >= discoveredAt) {
-      break;
-    }
-    lookup->changed.expires_at(
-      std::min(deadline, Now().steady + kDiscoveryPollInterval));
-    boost::system::error_code ignored;
-    co_await lookup->changed.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
-  }
+  co_await AskAllPeers(number, lookup);
   lookups_.erase(number);
-  const ResumeTarget target =
-    ResolveOrigin(lookup->knowledge, question.service);
+  OriginCoverage coverage = CoverageOf(*lookup);
+  ResumeTarget target =
+    ResolveOrigin(lookup->knowledge, coverage, question.service);
+  if (target.source == OriginSource::Unknown && !coverage.isCurrent &&
+      NeedsCurrentRegistry(lookup->knowledge)) {
+    co_await UpdateVersions(lookup);
+    coverage = CoverageOf(*lookup);
+    target = ResolveOrigin(lookup->knowledge, coverage, question.service);
+  }
   state_.metrics.Count("stream_resumes", "origin", NameOf(target.source));
   state_.log.Write(target.source == OriginSource::Unknown ? LogClass::Failure
                                                           : LogClass::Normal,
@@ -141,7 +189,9 @@
                      { "software", target.version },
                      { "asked", lookup->asked.size() },
                      { "silent", lookup->missingReplies },
-                     { "took", Now().steady - begin } });
+                     { "all-answered", coverage.haveAllAnswered ? 1U : 0U },
+                     { "current", coverage.isCurrent ? 1U : 0U },
+                     { "took", Now().steady - lookup->begin } });
   co_return target;
 }
 
--- a/servers/gateway/stream_origin_service.h
+++ b/servers/gateway/stream_origin_service.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -30,8 +31,16 @@
 class StreamOriginService
 {
 public:
+  /** Makes this gateway read the registry from the store soon. */
+  using RegistryReader = std::function<void()>;
+
   StreamOriginService(GatewayState& aState, PeerExchange& aPeers);
 
+  void SetRegistryReader(RegistryReader aReader)
+  {
+    readRegistry_ = std::move(aReader);
+  }
+
   /** Stores the origin of a stream and copies it to peers. */
   void OnStreamBegun(ExpiringOrigin aOrigin);
   /** Finds out where a stream that a client resumes may go on. */
@@ -59,8 +68,16 @@
     std::set<std::string> asked;
     std::size_t missingReplies = 0;
     bool hasRecord = false;
+    Instant begin{};
   };
 
+  /** Asks peers for a record until one has it, all have answered, or the time
+   * is over. */
+  boost::asio::awaitable<void> AskAllPeers(std::uint64_t aNumber,
+                                           std::shared_ptr<Lookup> aLookup);
+  /** Reads the registry from the store, and adds what that shows. */
+  boost::asio::awaitable<void> UpdateVersions(std::shared_ptr<Lookup> aLookup);
+  OriginCoverage CoverageOf(const Lookup& aLookup) const;
   /** Asks the live peers that have not been asked for this lookup. */
   void AskPeers(std::uint64_t aNumber, Lookup& aLookup);
   OriginKnowledge LocalKnowledge(const ResumeQuestion& aQuestion) const;
@@ -70,6 +87,7 @@
 
   GatewayState& state_;
   PeerExchange& peers_;
+  RegistryReader readRegistry_;
   StreamOrigins origins_;
   std::map<std::uint64_t, std::shared_ptr<Lookup>> lookups_;
   std::uint64_t lastLookup_ = 0;
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -126,8 +126,8 @@
   CHECK(question.service == "model");
   CHECK(question.maxAge == Duration(8'000));
   for (const OriginKnowledge& knowledge :
-       { OriginKnowledge{ origin, { "v1", "v1.2" }, true },
-         OriginKnowledge{ std::nullopt, {}, false } }) {
+       { OriginKnowledge{ origin, { "v1", "v1.2" }, false, true },
+         OriginKnowledge{ std::nullopt, {}, true, false } }) {
     const auto reply =
       Decode(Encode({ header, StreamOriginReply{ 5, knowledge } }));
     REQUIRE(reply);
@@ -135,6 +135,7 @@
     CHECK(copy.number == 5);
     CHECK(copy.knowledge.origin == knowledge.origin);
     CHECK(copy.knowledge.versions == knowledge.versions);
+    CHECK(copy.knowledge.hasRunSince == knowledge.hasRunSince);
     CHECK(copy.knowledge.isVersionListComplete ==
           knowledge.isVersionListComplete);
   }
--- a/tests/gateway/test_stream_resume.cpp
+++ b/tests/gateway/test_stream_resume.cpp
@@ -98,10 +98,11 @@
                   "[ResumePolicy] a record goes before the versions that "
                   "gateways have seen")
 {
-  const std::array knowledge{ OriginKnowledge{ std::nullopt, { "v2" }, true },
-                              OriginKnowledge{
-                                Origin("a", "v1"), { "v1", "v2" }, false } };
-  const ResumeTarget target = ResolveOrigin(knowledge, "other");
+  const std::array knowledge{
+    OriginKnowledge{ std::nullopt, { "v2" }, true, true },
+    OriginKnowledge{ Origin("a", "v1"), { "v1", "v2" }, false, false }
+  };
+  const ResumeTarget target = ResolveOrigin(knowledge, { true, true }, "other");
   CHECK(target.source == OriginSource::Record);
   CHECK(target.service == "model");
   CHECK(target.version == "v1");
@@ -111,12 +112,12 @@
   "[ResumePolicy] without a record a stream goes on only where a single "
   "version has served the whole time")
 {
-  const OriginKnowledge complete{ std::nullopt, { "v1" }, true };
-  const OriginKnowledge started{ std::nullopt, { "v1" }, false };
-  const OriginKnowledge other{ std::nullopt, { "v2" }, false };
+  const OriginKnowledge complete{ std::nullopt, { "v1" }, true, true };
+  const OriginKnowledge started{ std::nullopt, { "v1" }, false, false };
+  const OriginKnowledge other{ std::nullopt, { "v2" }, false, false };
   const OriginKnowledge nothing{};
   const auto sourceOf = [](std::vector<OriginKnowledge> aKnowledge) {
-    return ResolveOrigin(aKnowledge, "model").source;
+    return ResolveOrigin(aKnowledge, { true, false }, "model").source;
   };
   CHECK(sourceOf({ complete }) == OriginSource::OnlyVersion);
   CHECK(sourceOf({ started, nothing, complete }) == OriginSource::OnlyVersion);
@@ -124,7 +125,36 @@
   CHECK(sourceOf({ complete, other }) == OriginSource::Unknown);
   CHECK(sourceOf({ nothing }) == OriginSource::Unknown);
   CHECK(sourceOf({}) == OriginSource::Unknown);
-  CHECK(ResolveOrigin(std::array{ complete }, "model").version == "v1");
+  CHECK(
+    ResolveOrigin(std::array{ complete }, { true, false }, "model").version ==
+    "v1");
+}
+
+TEST_CASE("[ResumePolicy] a gateway that is out of step does not take the only "
+          "version that it knows for the only one")
+{
+  // It has run for long, and heard nothing of late.
+  const OriginKnowledge outOfStep{ std::nullopt, { "v1" }, true, false };
+  const OriginKnowledge inStep{ std::nullopt, { "v1" }, true, true };
+  const OriginKnowledge started{ std::nullopt, { "v1" }, false, false };
+  const auto sourceOf = [](std::vector<OriginKnowledge> aKnowledge,
+                           OriginCoverage aCoverage) {
+    return ResolveOrigin(aKnowledge, aCoverage, "model").source;
+  };
+  CHECK(sourceOf({ outOfStep }, { true, false }) == OriginSource::Unknown);
+  CHECK(sourceOf({ outOfStep }, { false, false }) == OriginSource::Unknown);
+  CHECK(sourceOf({ inStep }, { false, false }) == OriginSource::Unknown);
+  CHECK(sourceOf({ outOfStep, inStep }, { false, false }) ==
+        OriginSource::Unknown);
+  // Without the store, all that may have begun it know of one version only.
+  CHECK(sourceOf({ outOfStep, outOfStep }, { false, true }) ==
+        OriginSource::OnlyVersion);
+  CHECK(sourceOf({ outOfStep, started }, { false, true }) ==
+        OriginSource::Unknown);
+  CHECK(sourceOf({ started, inStep }, { true, false }) ==
+        OriginSource::OnlyVersion);
+  CHECK_FALSE(NeedsCurrentRegistry(std::array{ outOfStep }));
+  CHECK(NeedsCurrentRegistry(std::array{ outOfStep, inStep }));
 }
 
 TEST_CASE("[ResumePolicy] in a random fleet, what gateways know never names a "
@@ -194,10 +224,12 @@
               knowledge.push_back(
                 { origins[one].Find(stream.attempt, now),
                   versions[one].ListedSince("model", now - kClientTime),
+                  versions[one].Covers(now - kClientTime, now),
                   versions[one].Covers(now - kClientTime, now) });
             }
           }
-          const ResumeTarget target = ResolveOrigin(knowledge, "model");
+          const ResumeTarget target =
+            ResolveOrigin(knowledge, { true, false }, "model");
           if (target.source != OriginSource::Unknown) {
             CHECK(target.version == stream.version);
             ++resumed;
