Test errors within streams and heads that end in their middle

Cause: two further reports: an error of the next server found in a stream, and a 200 with an empty body for a head that ended in its middle. Neither was seen here from outside; not played were errors within the resumed stream or that read like events, stage calls, the store, interim responses, and clients of HTTP/1.0 or with a kept connection. Change: fake servers can write any bytes in place of a response, also to resumes only; the fake store can end its heads in their middle.

--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -341,6 +341,13 @@
       co_await aClient->WriteResponse(std::move(response));
       continue;
     }
+    const std::string resumed = Header(*aClient, "Last-Event-Id");
+    if (faults_.raw && (!faults_.raw->onlyResumes || !resumed.empty())) {
+      if (!co_await WriteRaw(*aClient, *faults_.raw)) {
+        co_return;
+      }
+      continue;
+    }
     const auto target = aClient->GetRequest().target();
     if (target == "/gypsumstream/report") {
       EdgeResponse report;
@@ -570,6 +577,29 @@
   co_return isOpen;
 }
 
+asio::awaitable<bool> CellReplica::WriteRaw(ClientConnection& aClient,
+                                            CellRawResponse aResponse)
+{
+  const std::string after = Header(aClient, "Last-Event-Id");
+  const int event = after.empty() ? 1 : std::atoi(after.c_str()) + 1;
+  const auto replace = [&](std::string_view aName, const std::string& aValue) {
+    for (auto at = aResponse.bytes.find(aName); at != std::string::npos;
+         at = aResponse.bytes.find(aName, at + aValue.size())) {
+      aResponse.bytes.replace(at, aName.size(), aValue);
+    }
+  };
+  replace("%A", Header(aClient, "Attempt-Id"));
+  replace("%E", std::to_string(event));
+  ++rawResponses_;
+  const bool isOpen = co_await aClient.WritePart(aResponse.bytes);
+  if (aResponse.isReset) {
+    aClient.Abort();
+  } else if (!aResponse.keepsOpen) {
+    aClient.Close();
+  }
+  co_return isOpen && !aResponse.isReset && aResponse.keepsOpen;
+}
+
 void CellReplica::BreakOff(ClientConnection& aClient, bool aMayClose)
 {
   if (aMayClose && random_() % 2 == 0) {
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -96,6 +96,16 @@
 /** Whether a prompt has this part, other than as its last one. */
 bool HasSharedPart(const std::string& aPrompt, const std::string& aPart);
 
+/** Bytes that a replica writes in place of a response. */
+struct CellRawResponse
+{
+  /** `%A` stands for the attempt, `%E` for the event that is due. */
+  std::string bytes;
+  bool isReset = false;     ///< Resets the connection after them.
+  bool keepsOpen = false;   ///< Leaves the connection open after them.
+  bool onlyResumes = false; ///< Other requests get their usual response.
+};
+
 /** Injected faults of a replica; a `double` is a probability per request. */
 struct CellFaults
 {
@@ -115,6 +125,7 @@
   /** Framing of responses; empty for the usual one of the kind. */
   std::optional<BodyFraming> framing;
   std::optional<CellCut> cut; ///< Breaks off responses at this byte.
+  std::optional<CellRawResponse> raw;
 };
 
 /** Fake model replica, plain server or stage server. */
@@ -176,6 +187,7 @@
   std::uint64_t Pieces() const { return pieces_; }
   /** Number of responses that were broken off by `CellFaults::cut`. */
   std::uint64_t Cuts() const { return cuts_; }
+  std::uint64_t RawResponses() const { return rawResponses_; }
   /** Number of results of other attempts that were given as inputs. */
   std::uint64_t ForeignInputs() const { return foreignInputs_; }
   /** Number of results that have not been released. */
@@ -200,6 +212,8 @@
   /** Writes a response with the framing and the cut of the faults. */
   boost::asio::awaitable<bool> WriteFramed(ClientConnection& aClient,
                                            const EdgeResponse& aResponse);
+  boost::asio::awaitable<bool> WriteRaw(ClientConnection& aClient,
+                                        CellRawResponse aResponse);
   /** Adds the headers of all responses that the server makes itself. */
   void AddOwnHeaders(EdgeResponse& aResponse) const;
   /** Ends the connection within a response; a clean close of one without
@@ -252,6 +266,7 @@
   std::uint32_t maxConcurrentCalls_ = 0;
   std::uint64_t pieces_ = 0;
   std::uint64_t cuts_ = 0;
+  std::uint64_t rawResponses_ = 0;
   std::uint64_t foreignInputs_ = 0;
   std::uint64_t lastResult_ = 0;
   std::map<std::string, std::string> results_; ///< Item id by result handle.
--- a/tests/cell/cell_store.cpp
+++ b/tests/cell/cell_store.cpp
@@ -154,6 +154,11 @@
       aClient->Abort();
       co_return;
     }
+    if (mode == StoreMode::CutHead) {
+      co_await aClient->WritePart("HTTP/1.1 200 OK\r\nContent-Type: app");
+      aClient->Close();
+      co_return;
+    }
     if (mode == StoreMode::Unresponsive || mode == StoreMode::Slow) {
       asio::steady_timer timer(loop_,
                                mode == StoreMode::Slow
--- a/tests/cell/cell_store.h
+++ b/tests/cell/cell_store.h
@@ -27,6 +27,7 @@
   TooManyRequests, ///< 429 for every call.
   Unresponsive,    ///< No response for 30 s.
   Reset,           ///< Every call resets its connection.
+  CutHead,         ///< Every response ends in the middle of its head.
   Slow,            ///< Every response is delayed by 250 ms.
 };
 
