Refuse what an outdated configuration does not allow as not run

What callers saw: 404, which they don't try again, from a gateway that had lost touch with the store and could not know of the added route. Cause: a refusal by the configuration was final whatever its age. Evidence: the new test fails before (404 and 401) and passes after.

--- a/core/error_kind.cpp
+++ b/core/error_kind.cpp
@@ -32,6 +32,12 @@
                  401,
                  {},
                  "no customer has this key" },
+  ErrorResponse{
+    ErrorKind::ConfigurationOutdated,
+    "configuration-outdated",
+    503,
+    seconds(1),
+    "no such route or key, by a configuration that may be out of date" },
   ErrorResponse{ ErrorKind::MissingKey,
                  "missing-key",
                  400,
--- a/core/error_kind.h
+++ b/core/error_kind.h
@@ -25,6 +25,7 @@
   UnknownPipeline,
   UnknownCustomer,
   UnknownKey,
+  ConfigurationOutdated,
   MissingKey,
   KeyConflict,
   KeyFromFuture,
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -181,6 +181,13 @@
   pieces_.Release(attempt.plan.TakeAll());
 }
 
+ErrorKind RequestHandler::NotAllowed(ErrorKind aKind, Instant aNow) const
+{
+  return state_.configurationKnowledge.IsOutdated(aNow)
+           ? ErrorKind::ConfigurationOutdated
+           : aKind;
+}
+
 std::optional<ErrorKind> RequestHandler::Admit(Attempt& aAttempt)
 {
   aAttempt.routeTable = state_.routes;
@@ -193,14 +200,14 @@
   aAttempt.route = aAttempt.routeTable->Find({ host.data(), host.size() },
                                              { target.data(), target.size() });
   if (!aAttempt.route) {
-    return ErrorKind::UnknownPath;
+    return NotAllowed(ErrorKind::UnknownPath, aAttempt.arrivedAt);
   }
   if (aAttempt.routeTable->Configuration().hasCustomers &&
       !aAttempt.route->isPublic) {
     aAttempt.customer =
       aAttempt.routeTable->FindCustomer(aAttempt.parameters.customerKey);
     if (!aAttempt.customer) {
-      return ErrorKind::UnknownKey;
+      return NotAllowed(ErrorKind::UnknownKey, aAttempt.arrivedAt);
     }
   }
   const RouteTarget* const routeTarget =
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -33,6 +33,9 @@
   boost::asio::awaitable<void> HandleRequest(ClientConnectionPtr aClient);
   /** Fills in the attempt; returns the error if the request is refused. */
   std::optional<ErrorKind> Admit(Attempt& aAttempt);
+  /** The answer to a request that the configuration does not allow; final only
+   * if that is up to date. */
+  ErrorKind NotAllowed(ErrorKind aKind, Instant aNow) const;
   /** Finds the software that began the stream that the client resumes; returns
    * the error if the stream can't go on there. */
   boost::asio::awaitable<std::optional<ErrorKind>> FindResumeTarget(
--- a/tests/cell/test_reader_loss.cpp
+++ b/tests/cell/test_reader_loss.cpp
@@ -293,4 +293,34 @@
   }
 }
 
+TEST_CASE("[ReaderLoss] a gateway that has lost touch does not refuse an added "
+          "route as unknown")
+{
+  Cell cell({ 2, 1, 1, 1 });
+  const CellGateway& gateway = cell.Gateways().back();
+  cell.Isolate(gateway);
+  REQUIRE(cell.Start());
+  CellClient client(gateway.clientAddress);
+  CellRequest added = cell.MakePlainRequest("/read/x");
+  added.path = "/added/x";
+  REQUIRE(WaitUntil([&] { return client.Send(added).status == 404; }));
+  const auto setDoor = [&](StoreMode aMode) {
+    cell.Run([&] {
+      cell.Store().SetDoorMode(
+        gateway.storeDoor, StoreContent::Configuration, aMode);
+    });
+  };
+  setDoor(StoreMode::Unresponsive);
+  cell.configuration.extraRoutes.emplace_back("/added/");
+  cell.Publish();
+  CHECK(WaitUntil([&] { return client.Send(added).status == 503; }));
+  CHECK(client.Send(cell.MakePlainRequest("/read/x")).status == 200);
+  CellRequest unknownKey = cell.MakePlainRequest("/read/x");
+  unknownKey.apiKey = "no-such-key";
+  CHECK(client.Send(unknownKey).status == 503);
+  setDoor(StoreMode::Up);
+  CHECK(WaitUntil([&] { return client.Send(added).status == 200; }));
+  CHECK(client.Send(unknownKey).status == 401);
+}
+
 } // namespace gypsum::tests
