Let the soak lose readers beside changes and release beside stale gateways

Cause: the soak had neither; the late configuration and the joined versions were seen from outside only. Change: in some bursts all gateways that read the store but one are killed, stopped or cut off, in one part or both, right before a route is added, and servers change versions while a gateway is out of step. Clients ask for added routes; a 404 later than the bound, of a gateway in touch beside a steady store, is a violation. Own random source: older schedules stay.

--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -44,6 +44,14 @@
 constexpr const char* kCrashingPath = "/read/crash";
 /** One of so many plain requests that may be repeated crashes its server. */
 constexpr std::uint64_t kReadsPerCrashingRequest = 4;
+/** One of so many of them is for the route that was added last. */
+constexpr std::uint64_t kReadsPerAddedRoute = 2;
+// Bound set by the operators for a change of the configuration, and the time
+// without a disturbance after which it holds.
+constexpr Duration kApplyBound = milliseconds(2'000);
+constexpr Duration kContactTime = milliseconds(3'000);
+constexpr Duration kRecentCall = milliseconds(2'500);
+constexpr std::uint64_t kWaysToDisturb = 5;
 
 std::uint64_t ResidentMemoryKb(pid_t aProcess)
 {
@@ -69,6 +77,7 @@
   , incidentRandom_(aSeed)
   , restRandom_(aSeed)
   , endRandom_(aSeed)
+  , staleRandom_(aSeed)
   , cell_(aSize, aSeed)
   , faultDuration_(aFaultDuration)
 {
@@ -132,6 +141,12 @@
   if (isCrashing) {
     soakRequest.request.path = kCrashingPath;
   }
+  const bool isForAddedRoute =
+    !newestRoute_.empty() && soakRequest.request.path == "/read/x" &&
+    Checksum(soakRequest.request.attemptId) % kReadsPerAddedRoute == 1;
+  if (isForAddedRoute) {
+    soakRequest.request.path = newestRoute_ + "x";
+  }
   soakRequest.request.apiKey = aRandom() % 2 == 0 ? "key-one" : "key-two";
   soakRequest.gateway = aRandom() % cell_.Gateways().size();
   soakRequest.disconnectsEarly = aRandom() % 25 == 0;
@@ -295,6 +310,7 @@
                                    StoreMode::Reset,
                                    StoreMode::Slow };
       RecordFault("store-fault");
+      storeFaults_.push_back({ Now().steady });
       cell_.Run(
         [&] { cell_.Store().SetMode(kModes[random_() % kModes.size()]); });
       lastStoreFault_ = Now().steady;
@@ -302,6 +318,7 @@
     }
     case 16:
       RecordFault("store-compacts");
+      storeFaults_.push_back({ Now().steady, Now().steady });
       cell_.Run([&] { cell_.Store().CompactHistory(); });
       lastStoreFault_ = Now().steady;
       break;
@@ -318,6 +335,9 @@
   cell_.Run([&] {
     if (random_() % 2 == 0) {
       cell_.Store().SetMode(StoreMode::Up);
+      for (StoreFault& fault : storeFaults_) {
+        fault.until = std::min(fault.until, Now().steady);
+      }
     }
     for (CellReplica* const replica : cell_.Replicas()) {
       if (random_() % 3 == 0) {
@@ -484,6 +504,160 @@
   }
 }
 
+std::vector<std::size_t> Soak::StoreReaders()
+{
+  return cell_.Run([&] {
+    std::vector<std::size_t> readers;
+    for (std::size_t index = 0; index < cell_.Gateways().size(); ++index) {
+      const Instant calledAt = cell_.Store().LastCallAt(
+        cell_.Gateways()[index].storeDoor, StoreContent::Configuration);
+      if (Now().steady - calledAt < kRecentCall) {
+        readers.push_back(index);
+      }
+    }
+    return readers;
+  });
+}
+
+void Soak::Disturb(std::size_t aGateway, std::uint64_t aWay, bool aIsBegin)
+{
+  CellGateway& gateway = cell_.Gateways()[aGateway];
+  disturbedAt_[aGateway].push_back(Now().steady);
+  const auto setDoor = [&](StoreContent aContent) {
+    cell_.Run([&] {
+      cell_.Store().SetDoorMode(gateway.storeDoor,
+                                aContent,
+                                aIsBegin ? StoreMode::Unresponsive
+                                         : StoreMode::Up);
+    });
+  };
+  switch (aWay) {
+    case 0:
+      if (aIsBegin) {
+        gateway.process->Signal(SIGKILL);
+      } else if (!gateway.process->IsRunning()) {
+        cell_.StartGateway(gateway);
+      }
+      break;
+    case 1:
+      if (aIsBegin) {
+        pauses_.push_back({ gateway.process->Id(), Now().steady, {} });
+      } else {
+        const auto pause =
+          std::ranges::find(pauses_, gateway.process->Id(), &Pause::process);
+        pause->until = Now().steady;
+      }
+      gateway.process->Signal(aIsBegin ? SIGSTOP : SIGCONT);
+      break;
+    case 2:
+      setDoor(StoreContent::Configuration);
+      break;
+    case 3:
+      setDoor(StoreContent::Servers);
+      break;
+    default:
+      setDoor(StoreContent::Configuration);
+      setDoor(StoreContent::Servers);
+      break;
+  }
+}
+
+void Soak::LoseReadersBesideChange()
+{
+  RecordFault("readers-lost-beside-change");
+  std::vector<std::size_t> readers = StoreReaders();
+  std::ranges::shuffle(readers, staleRandom_);
+  if (readers.size() == cell_.Gateways().size()) {
+    readers.pop_back();
+  }
+  const std::uint64_t way = staleRandom_() % kWaysToDisturb;
+  for (const std::size_t reader : readers) {
+    Disturb(reader, way, true);
+  }
+  const std::string route =
+    "/added-" + std::to_string(addedAt_.size() + 1) + "/";
+  cell_.configuration.extraRoutes.push_back(route);
+  cell_.Publish();
+  {
+    const std::lock_guard lock(mutex_);
+    addedAt_[route] = Now().steady;
+    newestRoute_ = route;
+  }
+  const Instant end = Now().steady + milliseconds(500 + staleRandom_() % 3'000);
+  while (Now().steady < end) {
+    std::this_thread::sleep_for(milliseconds(250));
+    for (const std::size_t reader : readers) {
+      disturbedAt_[reader].push_back(Now().steady);
+    }
+  }
+  for (const std::size_t reader : readers) {
+    Disturb(reader, way, false);
+  }
+}
+
+void Soak::ReleaseBesideStaleGateway()
+{
+  RecordFault("release-beside-stale-gateway");
+  const std::size_t gateway = staleRandom_() % cell_.Gateways().size();
+  const std::uint64_t way = 1 + staleRandom_() % (kWaysToDisturb - 1);
+  Disturb(gateway, way, true);
+  const std::string version = staleRandom_() % 2 == 0 ? "v1" : "v2";
+  for (auto& replica : cell_.ModelReplicas()) {
+    if (drainedAt_.contains(replica->Id())) {
+      continue;
+    }
+    cell_.Run([&] {
+      replica->SetVersion(version);
+      replica->Restart();
+    });
+    std::this_thread::sleep_for(milliseconds(staleRandom_() % 600));
+  }
+  Disturb(gateway, way, false);
+}
+
+void Soak::InjectStaleKnowledge()
+{
+  switch (staleRandom_() % 4) {
+    case 0:
+      LoseReadersBesideChange();
+      break;
+    case 1:
+      ReleaseBesideStaleGateway();
+      break;
+    default:
+      break;
+  }
+}
+
+void Soak::CheckAddedRoutes()
+{
+  const auto isSteady = [&](Instant aFrom, Instant aTo) {
+    return std::ranges::none_of(storeFaults_, [&](const StoreFault& aFault) {
+      return aFault.from <= aTo && aFrom <= aFault.until + kContactTime;
+    });
+  };
+  for (const SoakRequest& request : requests_) {
+    const std::string& path = request.request.path;
+    const auto added = addedAt_.find(path.substr(0, path.rfind('/') + 1));
+    if (added == addedAt_.end()) {
+      continue;
+    }
+    ++report_.addedRouteRequests;
+    const Instant sentAt = request.response.sentAt;
+    const auto disturbed = disturbedAt_.find(request.gateway);
+    const bool isInTouch =
+      disturbed == disturbedAt_.end() ||
+      std::ranges::none_of(disturbed->second, [&](Instant aAt) {
+        return aAt <= request.response.endedAt && sentAt < aAt + kContactTime;
+      });
+    if (request.response.status == 404 && isInTouch &&
+        sentAt > added->second + kApplyBound &&
+        isSteady(added->second, sentAt)) {
+      RecordViolation("an added route was refused as unknown", request);
+    }
+  }
+}
+
 void Soak::CheckRests()
 {
   const auto wasPaused = [&](const CellAskedRest& aRest) {
@@ -540,6 +714,7 @@
     InjectIncident();
     InjectRest();
     KillAllGateways();
+    InjectStaleKnowledge();
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
@@ -573,6 +748,7 @@
   CheckCrashingRequest();
   CheckLeaving();
   CheckRests();
+  CheckAddedRoutes();
   CheckRecovery();
   CheckRequests();
   CheckDrains();
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -36,12 +36,13 @@
   std::map<unsigned, int> statuses;
   std::size_t requests = 0;
   std::size_t executions = 0;
-  std::size_t resumes = 0;          ///< Streams that clients took up again.
-  std::size_t continuedResumes = 0; ///< Of these, those that went on.
-  std::size_t crashes = 0;          ///< Of servers, on a part of a prompt.
-  std::size_t requestCrashes = 0;   ///< Of servers, on a request as a whole.
-  std::size_t leavingWords = 0;     ///< Responses of servers that leave.
-  std::size_t rests = 0;            ///< That servers asked of gateways.
+  std::size_t resumes = 0;            ///< Streams that clients took up again.
+  std::size_t continuedResumes = 0;   ///< Of these, those that went on.
+  std::size_t crashes = 0;            ///< Of servers, on a part of a prompt.
+  std::size_t requestCrashes = 0;     ///< Of servers, on a request as a whole.
+  std::size_t leavingWords = 0;       ///< Responses of servers that leave.
+  std::size_t rests = 0;              ///< That servers asked of gateways.
+  std::size_t addedRouteRequests = 0; ///< For routes that were added meanwhile.
 };
 
 /**
@@ -85,6 +86,18 @@
   void KillAllGateways();
   /** Makes servers ask for rest, or stop to. */
   void InjectRest();
+  /** Gateways that have called the store for the configuration lately. */
+  std::vector<std::size_t> StoreReaders();
+  /** Takes a gateway out of touch, in one of several ways, for some time. */
+  void Disturb(std::size_t aGateway, std::uint64_t aWay, bool aIsBegin);
+  /** Publishes a route right after all readers of the store but one are lost.
+   */
+  void LoseReadersBesideChange();
+  /** Replaces servers by other versions while a gateway is out of step. */
+  void ReleaseBesideStaleGateway();
+  /** Loses readers, or has a gateway out of step, in some bursts. */
+  void InjectStaleKnowledge();
+  void CheckAddedRoutes();
   void CheckCrashingRequest();
   void CheckRests();
   void CheckLeaving();
@@ -104,6 +117,7 @@
   std::mt19937_64 incidentRandom_;
   std::mt19937_64 restRandom_;
   std::mt19937_64 endRandom_;
+  std::mt19937_64 staleRandom_;
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
@@ -134,6 +148,17 @@
   };
 
   std::vector<Pause> pauses_;
+  /** A time without a steady store. */
+  struct StoreFault
+  {
+    Instant from{};
+    Instant until = Instant::max();
+  };
+
+  std::vector<StoreFault> storeFaults_;
+  /** When the store acknowledged each added route, by its prefix. */
+  std::map<std::string, Instant> addedAt_;
+  std::string newestRoute_;
   Instant lastStoreFault_{};
   SoakReport report_;
 };
--- a/tests/cell/soak_main.cpp
+++ b/tests/cell/soak_main.cpp
@@ -23,7 +23,8 @@
             << " of " << report.resumes << " resumes went on, "
             << report.crashes << " crashes on parts, " << report.requestCrashes
             << " on requests, " << report.leavingWords
-            << " words of leaving servers, " << report.rests << " rests,";
+            << " words of leaving servers, " << report.rests << " rests, "
+            << report.addedRouteRequests << " for added routes,";
   for (const auto& [status, count] : report.statuses) {
     std::cout << " " << status << ":" << count;
   }
