Pass on to peers that the removal of a server waits

Cause: a gateway whose way to the store has just come back keeps removed entries for 2.2 s, in which live servers register again. Who knows the removal leaves it removed; the others remove it then, too. Evidence: two new tests of the registry fail before and pass after.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -114,8 +114,18 @@
   std::vector<RegistryEvent> events;
   std::set<std::string_view> listed;
   for (const RegistryChange& change : aSnapshot.entries) {
+    const auto found = entries_.find(change.id);
+    if (change.removedIn && found == entries_.end()) {
+      // Its removal is known here already.
+      continue;
+    }
     listed.insert(change.id);
     std::ranges::move(Apply(change, aNow), std::back_inserter(events));
+    if (change.removedIn && found->second.revision == change.revision) {
+      std::optional<Instant>& until = found->second.missingUntil;
+      until =
+        std::min(until.value_or(Instant::max()), aNow + *change.removedIn);
+    }
   }
   std::vector<RegistryChange> gone;
   for (const auto& [id, entry] : entries_) {
@@ -220,7 +230,7 @@
          !IsLeaving(*found->second.record);
 }
 
-RegistrySnapshot BackendRegistry::Snapshot() const
+RegistrySnapshot BackendRegistry::Snapshot(Instant aNow) const
 {
   RegistrySnapshot list{ revision_, {} };
   for (const auto& [id, entry] : entries_) {
@@ -228,6 +238,9 @@
     if (entry.record) {
       change.record = *entry.record;
     }
+    if (entry.missingUntil) {
+      change.removedIn = std::max(Duration{}, *entry.missingUntil - aNow);
+    }
     list.entries.push_back(std::move(change));
   }
   return list;
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -39,6 +39,9 @@
   std::uint64_t revision = 0;
   std::optional<BackendRecord> record; ///< Empty: removed or unreadable.
   bool isUnreadable = false;
+  /** The store lacks the entry: it is removed after this time, unless the
+   * server registers again. */
+  std::optional<Duration> removedIn;
 };
 
 /** The whole registry at one revision. */
@@ -126,7 +129,7 @@
 
   std::uint64_t Revision() const { return revision_; }
   /** All entries with their revisions, to send to a peer. */
-  RegistrySnapshot Snapshot() const;
+  RegistrySnapshot Snapshot(Instant aNow) const;
 
 private:
   struct Entry
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -199,6 +199,10 @@
       item.set_started_ms(entry.record->startedMs);
       item.set_software_version(entry.record->version);
     }
+    if (entry.removedIn) {
+      item.set_removed_in_us(
+        static_cast<std::uint64_t>(entry.removedIn->count()));
+    }
   }
 }
 
@@ -597,20 +601,21 @@
   return { aFrom.backend(), aFrom.started_ms(), ReadAge(aFrom.age_us()) };
 }
 
+Duration ReadBoundedAge(std::uint64_t aMicroseconds)
+{
+  const auto longest = static_cast<std::uint64_t>(kUnknownAge.count());
+  return Duration(static_cast<std::int64_t>(std::min(longest, aMicroseconds)));
+}
+
 /** A missing or excessive age is an unknown one. */
 KnowledgeClaim Read(bool aIsPresent, const proto::KnowledgeClaim& aFrom)
 {
   if (!aIsPresent) {
     return {};
   }
-  const auto readAge = [](std::uint64_t aMicroseconds) {
-    const auto longest = static_cast<std::uint64_t>(kUnknownAge.count());
-    return Duration(
-      static_cast<std::int64_t>(std::min(longest, aMicroseconds)));
-  };
   return { aFrom.version(),
-           readAge(aFrom.age_us()),
-           readAge(aFrom.read_age_us()) };
+           ReadBoundedAge(aFrom.age_us()),
+           ReadBoundedAge(aFrom.read_age_us()) };
 }
 
 GatewayStatus Read(const proto::GatewayNews& aFrom)
@@ -665,6 +670,9 @@
                        item.slots(),      item.is_draining(),
                        item.started_ms(), item.software_version() };
     }
+    if (item.has_removed_in_us()) {
+      entry.removedIn = ReadBoundedAge(item.removed_in_us());
+    }
     reply.list.entries.push_back(std::move(entry));
   }
   return reply;
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -211,7 +211,7 @@
     now.wall.time_since_epoch() -
     std::chrono::duration_cast<std::chrono::milliseconds>(age);
   return age < CrashEvidence::kNewFleetTime &&
-         HadRestarts(state_.registry.Snapshot(),
+         HadRestarts(state_.registry.Snapshot(Now().steady),
                      static_cast<std::uint64_t>(startedMs.count()));
 }
 
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -267,7 +267,8 @@
   text += "version: " + std::to_string(platformState_.Version()) + "\n";
   text += "registry: " + std::to_string(state_.registry.Revision()) + "\n";
   text += "peers: " + std::to_string(peers_.LiveGateways() - 1) + "\n";
-  for (const RegistryChange& entry : state_.registry.Snapshot().entries) {
+  for (const RegistryChange& entry :
+       state_.registry.Snapshot(Now().steady).entries) {
     if (!entry.record) {
       continue;
     }
--- a/servers/gateway/knowledge_service.cpp
+++ b/servers/gateway/knowledge_service.cpp
@@ -224,7 +224,7 @@
   if (std::holds_alternative<RegistryRequest>(aBody)) {
     peers_.SendBack(aRoute,
                     aHeader.sender.incarnation,
-                    RegistryReply{ state_.registry.Snapshot() });
+                    RegistryReply{ state_.registry.Snapshot(Now().steady) });
     return true;
   }
   if (const auto* const reply = std::get_if<RegistryReply>(&aBody)) {
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -120,7 +120,7 @@
 
 void PlatformState::ObserveVersions()
 {
-  state_.versions.Observe(state_.registry.Snapshot(), Now().steady);
+  state_.versions.Observe(state_.registry.Snapshot(Now().steady), Now().steady);
 }
 
 void PlatformState::OnStoreCallSucceeded()
@@ -155,7 +155,7 @@
 void PlatformState::Expire()
 {
   OnRegistryEvents(state_.registry.Expire(Now().steady), "store");
-  const RegistrySnapshot snapshot = state_.registry.Snapshot();
+  const RegistrySnapshot snapshot = state_.registry.Snapshot(Now().steady);
   state_.versions.Observe(snapshot, Now().steady);
   std::vector<std::string_view> known;
   for (const RegistryChange& entry : snapshot.entries) {
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -82,7 +82,7 @@
   reply.list.revision = 12;
   const BackendRecord record{ "i-1", "model", "10.0.0.1:1", "z",
                               64,    true,    17,           "v1.2" };
-  reply.list.entries = { { "i-1", 11, record, false },
+  reply.list.entries = { { "i-1", 11, record, false, Duration(1'500) },
                          { "i-2", 12, std::nullopt, true } };
   const auto received = Decode(Encode({ { { "gateway-1", 7 }, 9, 3 }, reply }));
   REQUIRE(received);
@@ -90,7 +90,9 @@
   CHECK(list.revision == 12);
   REQUIRE(list.entries.size() == 2);
   CHECK(list.entries[0].record == record);
+  CHECK(list.entries[0].removedIn == Duration(1'500));
   CHECK(list.entries[1].isUnreadable);
+  CHECK_FALSE(list.entries[1].removedIn);
 }
 
 TEST_CASE("[PeerCodec] the word of servers that leave is transferred unchanged")
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -137,11 +137,52 @@
   Add(Record("a", "10.0.0.1:1"), 10);
   registry.Apply({ "u", 11, std::nullopt, true }, now);
   BackendRegistry other;
-  other.Replace(registry.Snapshot(), now);
+  other.Replace(registry.Snapshot(now), now);
   CHECK(other.Usable("model").size() == 1);
   CHECK(other.Revision() == registry.Revision());
 }
 
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] a removal that waits for the server to "
+                  "return reaches peers that fetch a snapshot meanwhile")
+{
+  const BackendRecord record = Record("a", "10.0.0.1:1");
+  Add(record, 5);
+  BackendRegistry peer;
+  peer.Replace(registry.Snapshot(now), now);
+  registry.OnStoreReconnected(now);
+  Remove("a", 9);
+  CHECK(UsableCount() == 1);
+  now += milliseconds(200);
+  peer.Replace(registry.Snapshot(now), now);
+  CHECK(peer.Usable("model").size() == 1);
+  now += BackendRegistry::kReregistrationTimeout;
+  CHECK(peer.Expire(now).size() == 1);
+  CHECK(peer.Usable("model").empty());
+}
+
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] a snapshot does not bring a removed "
+                  "server back for which its sender waits")
+{
+  const BackendRecord record = Record("a", "10.0.0.1:1");
+  Add(record, 5);
+  BackendRegistry peer;
+  peer.Replace(registry.Snapshot(now), now);
+  peer.Apply({ "a", 9, std::nullopt }, now);
+  CHECK(peer.Usable("model").empty());
+  registry.OnStoreReconnected(now);
+  Remove("a", 9);
+  registry.Apply({ "b", 12, Record("b", "10.0.0.2:1") }, now);
+  peer.Replace(registry.Snapshot(now), now);
+  REQUIRE(peer.Usable("model").size() == 1);
+  CHECK(peer.Usable("model").front()->id == "b");
+  // One that registers again is taken as any other.
+  Add(record, 13);
+  peer.Replace(registry.Snapshot(now), now);
+  CHECK(peer.Usable("model").size() == 2);
+}
+
 TEST_CASE_FIXTURE(
   RegistryFixture,
   "[BackendRegistry] a reused address belongs to the server that started later")
