--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -41,7 +41,7 @@
   bool isUnreadable = false;
   /** The store lacks the entry: it is removed after this time, unless the
    * server registers again. */
-  std::optional<Duration> removedIn;
+  std::optional<Duration> removedIn{};
 };
 
 /** The whole registry at one revision. */
