Keep the schedules of the soak's kept seeds

Cause: kept seeds were found without stale knowledge; with it, less of what they failed for is played in the same time.

--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -714,7 +714,9 @@
     InjectIncident();
     InjectRest();
     KillAllGateways();
-    InjectStaleKnowledge();
+    if (hasStaleKnowledge_) {
+      InjectStaleKnowledge();
+    }
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -56,6 +56,8 @@
        CellSize aSize,
        std::chrono::seconds aFaultDuration);
 
+  /** Leaves out stale knowledge, as older seeds were found without it. */
+  void KeepOldSchedule() { hasStaleKnowledge_ = false; }
   SoakReport Run();
   Cell& GetCell() { return cell_; }
 
@@ -118,6 +120,7 @@
   std::mt19937_64 restRandom_;
   std::mt19937_64 endRandom_;
   std::mt19937_64 staleRandom_;
+  bool hasStaleKnowledge_ = true;
   Cell cell_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
