Answer every request before a planned stop ends

Cause: Drain ended the loop half a second before the grace period did and closed whatever still waited; requests were passed on until then, although they could not end any more. Change: StopSchedule says until when requests are accepted, sent to servers and answered. What no server has is refused as not run when sends end, the rest gets an honest failure before the exit; a body that trickles in ends with 503. Stages that would end too late are refused on arrival.

--- a/drivers/edge/client_connection.cpp
+++ b/drivers/edge/client_connection.cpp
@@ -94,7 +94,13 @@
     buffer_.commit(count);
   }
   isIdle_ = false;
-  co_return co_await ReadHeaderAndBody(aLimits);
+  isReading_ = true;
+  const RequestReadResult result = co_await ReadHeaderAndBody(aLimits);
+  isReading_ = false;
+  if (isReadingEnded_ && result != RequestReadResult::Complete) {
+    co_return RequestReadResult::Stopped;
+  }
+  co_return result;
 }
 
 asio::awaitable<RequestReadResult> ClientConnection::ReadHeaderAndBody(
@@ -274,6 +280,14 @@
   stream_.socket().set_option(asio::socket_base::linger(aIsReset, 0), ignored);
 }
 
+void ClientConnection::EndReading()
+{
+  if (isReading_) {
+    isReadingEnded_ = true;
+    stream_.cancel();
+  }
+}
+
 void ClientConnection::Abort()
 {
   keepsAlive_ = false;
--- a/drivers/edge/client_connection.h
+++ b/drivers/edge/client_connection.h
@@ -33,6 +33,7 @@
   HeaderTooLarge, ///< Status 431.
   BodyTooLarge,   ///< Status 413.
   TimedOut,       ///< Status 408.
+  Stopped,        ///< Status 503; see `EndReading`.
   Closed,         ///< The client closed the connection or was idle too long.
 };
 
@@ -76,6 +77,8 @@
   bool KeepsAlive() const { return keepsAlive_; }
   /** Sends `Connection: close` with the next response and closes after it. */
   void CloseAfterResponse() { keepsAlive_ = false; }
+  /** Ends the reading of a request that has begun to arrive. */
+  void EndReading();
   /** Whether no request is being read or handled. */
   bool IsIdle() const { return isIdle_; }
   /** Resets the connection, so that the client sees a started response as
@@ -102,6 +105,8 @@
   bool hasDisconnected_ = false;
   bool keepsAlive_ = true;
   bool isIdle_ = true;
+  bool isReading_ = false; ///< A request has begun to arrive.
+  bool isReadingEnded_ = false;
   bool isChunked_ = false;
 };
 
--- a/drivers/edge/edge_listener.cpp
+++ b/drivers/edge/edge_listener.cpp
@@ -99,6 +99,16 @@
   }
 }
 
+void EdgeListener::CloseAfterResponses()
+{
+  std::ranges::for_each(connections_, &ClientConnection::CloseAfterResponse);
+}
+
+void EdgeListener::EndReading()
+{
+  std::ranges::for_each(connections_, &ClientConnection::EndReading);
+}
+
 void EdgeListener::AbortAll()
 {
   std::ranges::for_each(connections_, &ClientConnection::Abort);
--- a/drivers/edge/edge_listener.h
+++ b/drivers/edge/edge_listener.h
@@ -35,6 +35,10 @@
   void StopAccepting();
   /** Closes the connections that are between requests. */
   void CloseIdle();
+  /** Asks clients to send their next request on another connection. */
+  void CloseAfterResponses();
+  /** Ends the reading of requests that have not arrived whole. */
+  void EndReading();
   /** Resets all connections, as the end of the process would. */
   void AbortAll();
   std::size_t Connections() const { return connections_.size(); }
--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -43,6 +43,7 @@
   std::string refusedTrait; ///< For which it was refused; may be empty.
   StagePlan plan{ {}, {} };
   CancellationToken cancellation;
+  bool isAtServer = false; ///< Whether a backend server has it.
 
   /** The only software version that may serve it; empty for any. */
   std::optional<std::string_view> RequiredVersion() const
--- a/servers/gateway/cancellation_token.h
+++ b/servers/gateway/cancellation_token.h
@@ -5,6 +5,15 @@
 
 namespace gypsum {
 
+/** Why the work for a request has ended early. */
+enum class CancelReason
+{
+  None,
+  ClientLeft, ///< Nobody reads a response.
+  Stopping,   ///< This process stops; the client still gets a response.
+  StageEnded, ///< Another stage has failed.
+};
+
 /**
  * Cancels the work for one request once its response is no longer needed.
  *
@@ -19,11 +28,13 @@
     onCancel_ = std::move(aOnCancel);
   }
   void ClearOnCancel() { onCancel_ = nullptr; }
-  bool IsCancelled() const { return isCancelled_; }
+  bool IsCancelled() const { return reason_ != CancelReason::None; }
+  bool HasClientLeft() const { return reason_ == CancelReason::ClientLeft; }
+  bool IsStopping() const { return reason_ == CancelReason::Stopping; }
 
-  void Cancel()
+  void Cancel(CancelReason aReason)
   {
-    isCancelled_ = true;
+    reason_ = aReason;
     if (onCancel_) {
       // The callback may call `ClearOnCancel`.
       const auto onCancel = std::exchange(onCancel_, nullptr);
@@ -32,7 +43,7 @@
   }
 
 private:
-  bool isCancelled_ = false;
+  CancelReason reason_ = CancelReason::None;
   std::function<void()> onCancel_;
 };
 
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -21,9 +21,6 @@
 /** Interval of the periodic tasks: expiry, log flush, settings check. */
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(200);
 constexpr int kRoundsPerSettingsCheck = 5;
-/** The drain ends this long before the end of the grace period, at which the
- * platform kills the process. */
-constexpr Duration kExitMargin = std::chrono::milliseconds(500);
 /** Time after which the load balancer has removed a gateway that is not ready.
  * It polls once a second and removes a gateway after two failed polls: that
  * takes at most 2 s, and 0.6 s are added as a margin. */
@@ -347,7 +344,8 @@
     if (state_.IsStopping()) {
       continue;
     }
-    state_.stopAt = Now().steady + state_.settings.gracePeriod;
+    state_.stop.emplace(Now().steady, state_.settings.gracePeriod);
+    clientListener_.CloseAfterResponses();
     state_.log.Write(LogClass::StateChange,
                      "stopping",
                      { { "busy", clientListener_.BusyCount() },
@@ -368,9 +366,16 @@
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
     const Instant now = Now().steady;
+    if (now >= state_.stop->SendUntil()) {
+      requests_.EndWaiting();
+    }
+    if (now >= state_.stop->AnswerAt()) {
+      requests_.EndAll();
+      clientListener_.EndReading();
+    }
     const bool hasReadinessPropagated = now > begin + kReadinessPropagationTime;
     if ((hasReadinessPropagated && clientListener_.BusyCount() == 0) ||
-        now > *state_.stopAt - kExitMargin) {
+        now > state_.stop->ExitAt()) {
       break;
     }
   }
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "core/gateway/route_table.h"
 #include "core/gateway/send_permissions.h"
 #include "core/gateway/service_versions.h"
+#include "core/gateway/stop_schedule.h"
 #include "core/gateway/store_knowledge.h"
 #include "core/identity.h"
 #include "drivers/edge/backend_pool.h"
@@ -52,7 +53,9 @@
     return aPart == StorePart::Configuration ? configurationKnowledge
                                              : backendKnowledge;
   }
-  bool IsStopping() const { return stopAt.has_value(); }
+  bool IsStopping() const { return stop.has_value(); }
+  /** Whether requests may still be sent to backend servers. */
+  bool MaySend(Instant aNow) const { return !stop || aNow < stop->SendUntil(); }
   /** A random number from 0 to 1. */
   double DrawFraction()
   {
@@ -80,9 +83,8 @@
   BackendPool pool;
   GatewayMetrics metrics;
   std::minstd_rand random{ static_cast<std::uint_fast32_t>(self.incarnation) };
-  Instant lastStoreResponseAt{}; ///< Last successful response of the store.
-  std::optional<Instant>
-    stopAt; ///< End of the grace period; empty unless stopping.
+  Instant lastStoreResponseAt{};    ///< Last successful response of the store.
+  std::optional<StopSchedule> stop; ///< Empty unless stopping.
 };
 
 } // namespace gypsum
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <initializer_list>
+#include <iterator>
 #include <memory>
 #include <utility>
 
@@ -40,11 +41,6 @@
 constexpr Duration kFinalHopsTime = std::chrono::milliseconds(60);
 /** Typical wait of a stage even if its queue is short. */
 constexpr Duration kTypicalStageWait = std::chrono::milliseconds(60);
-/** New requests are accepted for this long after SIGTERM: a load balancer
- * needs two health checks, one second apart, to notice the shutdown. */
-constexpr Duration kShutdownAcceptTime = std::chrono::milliseconds(2'500);
-/** Retry-After while this gateway stops; another gateway can serve at once. */
-constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 /** Added to the time that a client waits, for messages under way. */
 constexpr Duration kResumeMargin = std::chrono::seconds(2);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
@@ -60,6 +56,8 @@
       return ErrorKind::BodyTooLarge;
     case RequestReadResult::TimedOut:
       return ErrorKind::RequestTimeout;
+    case RequestReadResult::Stopped:
+      return ErrorKind::Stopping;
     default:
       return ErrorKind::BadRequest;
   }
@@ -136,12 +134,11 @@
     co_await Refuse(attempt, *kind, Duration{});
     co_return;
   }
-  if (state_.IsStopping() && attempt.arrivedAt > *state_.stopAt -
-                                                   state_.settings.gracePeriod +
-                                                   kShutdownAcceptTime) {
-    co_await Refuse(attempt, ErrorKind::Stopping, kStoppingRetryAfter);
+  if (state_.stop && attempt.arrivedAt > state_.stop->AcceptUntil()) {
+    co_await Refuse(attempt, ErrorKind::Stopping, StopSchedule::kRetryAfter);
     co_return;
   }
+  const OpenAttempt open(openAttempts_, attempt);
   if (attempt.parameters.IsResume() &&
       attempt.route->repeatability == Repeatability::ResumableStream) {
     if (const auto kind = co_await FindResumeTarget(attempt)) {
@@ -160,13 +157,20 @@
     co_await Refuse(attempt, ErrorKind::DeadlineTooShort, *retryAfter);
     co_return;
   }
+  if (CannotEndBeforeStop(attempt)) {
+    co_await Refuse(attempt, ErrorKind::Stopping, StopSchedule::kRetryAfter);
+    co_return;
+  }
   state_.retryBudget.OnRequest(attempt.service->name, attempt.arrivedAt);
-  aClient->WatchForDisconnect([&attempt] { attempt.cancellation.Cancel(); });
+  aClient->WatchForDisconnect(
+    [&attempt] { attempt.cancellation.Cancel(CancelReason::ClientLeft); });
   if (attempt.plan.HasWork()) {
     const auto kind = co_await RunStages(attempt);
     if (kind) {
       aClient->StopWatching();
-      const Duration retryAfter = RetryAfter(attempt);
+      const Duration retryAfter = *kind == ErrorKind::Stopping
+                                    ? StopSchedule::kRetryAfter
+                                    : RetryAfter(attempt);
       pieces_.Release(attempt.plan.TakeAll());
       if (!co_await RefuseIfCrashing(attempt)) {
         co_await Refuse(attempt, *kind, retryAfter);
@@ -401,6 +405,39 @@
   return RetryAfter(aAttempt);
 }
 
+bool RequestHandler::CannotEndBeforeStop(const Attempt& aAttempt) const
+{
+  const Duration requiredTime = aAttempt.plan.Remaining(
+    [&](std::uint32_t aStage) { return StageTimeOf(aAttempt, aStage, true); });
+  return !state_.MaySend(Now().steady + requiredTime);
+}
+
+void RequestHandler::EndWaiting()
+{
+  EndAttempts([](const Attempt& aAttempt) { return !aAttempt.isAtServer; });
+}
+
+void RequestHandler::EndAll()
+{
+  EndAttempts([](const Attempt&) { return true; });
+}
+
+template<typename Predicate>
+void RequestHandler::EndAttempts(Predicate aMustEnd)
+{
+  // An attempt that ends leaves the set.
+  std::vector<Attempt*> ending;
+  std::ranges::copy_if(
+    openAttempts_, std::back_inserter(ending), [&](const Attempt* aAttempt) {
+      return !aAttempt->cancellation.IsCancelled() && aMustEnd(*aAttempt);
+    });
+  for (Attempt* const attempt : ending) {
+    if (openAttempts_.contains(attempt)) {
+      attempt->cancellation.Cancel(CancelReason::Stopping);
+    }
+  }
+}
+
 Duration RequestHandler::RetryAfter(const Attempt& aAttempt) const
 {
   // A client that retries before the queues are empty is refused again.
@@ -562,11 +599,12 @@
     pieces_.Release(aAttempt.plan.TakeReleasable());
     if (aAttempt.cancellation.IsCancelled() ||
         Now().steady >= aAttempt.firstPartDeadline) {
-      failure = ErrorKind::Overloaded;
+      failure = aAttempt.cancellation.IsStopping() ? ErrorKind::Stopping
+                                                   : ErrorKind::Overloaded;
     }
   }
   for (const auto& cancellation : progress->cancellations) {
-    cancellation->Cancel();
+    cancellation->Cancel(CancelReason::StageEnded);
   }
   co_return failure;
 }
@@ -577,10 +615,10 @@
 {
   EdgeResponse response = FailureResponse(aKind, aRetryAfter);
   const unsigned status = response.status;
-  const std::string_view outcome = aAttempt.cancellation.IsCancelled()
+  const std::string_view outcome = aAttempt.cancellation.HasClientLeft()
                                      ? "client-left"
                                      : ErrorResponseOf(aKind).name;
-  if (!aAttempt.cancellation.IsCancelled()) {
+  if (!aAttempt.cancellation.HasClientLeft()) {
     co_await aAttempt.client->WriteResponse(std::move(response));
   }
   const Duration elapsed = Now().steady - aAttempt.arrivedAt;
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 
 namespace gypsum {
 
@@ -28,8 +29,35 @@
 
   /** Serves one client connection until it ends. */
   boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
+  /** Answers the requests that no backend server has, as this process stops. */
+  void EndWaiting();
+  /** Answers or breaks off all requests. */
+  void EndAll();
 
 private:
+  /** Lists an attempt as open while it is handled. */
+  class OpenAttempt
+  {
+  public:
+    OpenAttempt(std::set<Attempt*>& aOpen, Attempt& aAttempt)
+      : open_(aOpen)
+      , attempt_(&aAttempt)
+    {
+      open_.insert(attempt_);
+    }
+    ~OpenAttempt() { open_.erase(attempt_); }
+    OpenAttempt(const OpenAttempt&) = delete;
+    OpenAttempt& operator=(const OpenAttempt&) = delete;
+
+  private:
+    std::set<Attempt*>& open_;
+    Attempt* attempt_;
+  };
+
+  template<typename Predicate>
+  void EndAttempts(Predicate aMustEnd);
+  /** Whether its stages would end too late for a send before the stop. */
+  bool CannotEndBeforeStop(const Attempt& aAttempt) const;
   boost::asio::awaitable<void> HandleRequest(ClientConnectionPtr aClient);
   /** Fills in the attempt; returns the error if the request is refused. */
   std::optional<ErrorKind> Admit(Attempt& aAttempt);
@@ -83,6 +111,7 @@
   CrashService& crashes_;
   LimitService& limits_;
   ResponseObserver& observer_;
+  std::set<Attempt*> openAttempts_;
 };
 
 } // namespace gypsum
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -180,7 +180,8 @@
 
 bool SendLoop::CanSendMore(Instant aNow)
 {
-  return !attempt_.cancellation.IsCancelled() && !areInputsReleased_ &&
+  return !attempt_.cancellation.IsCancelled() && state_.MaySend(aNow) &&
+         !areInputsReleased_ &&
          sendCount_ < std::max(1U, attempt_.route->maxReplicas) &&
          attempt_.responseDeadline - aNow > kMinSendTime &&
          (Choose().has_value() || TryHeldAt().has_value()) &&
@@ -274,6 +275,10 @@
       co_await FinishWithTrait(decision);
       co_return;
     }
+    if (attempt_.cancellation.IsCancelled() || !state_.MaySend(Now().steady)) {
+      co_await FinishUnsent();
+      co_return;
+    }
     excludedVersions_ = std::move(decision.excludedVersions);
     chosenAt_ = Now().steady;
     const auto choice = Choose();
@@ -294,12 +299,7 @@
     heldPlace_.reset();
     const Instant now = Now().steady;
     if (!choice || attempt_.responseDeadline - now <= kMinSendTime) {
-      co_await FinishWithFailure(DecideNextStep({ attempt_.route->repeatability,
-                                                  SendFailure::NotConnected,
-                                                  mayHaveRun_,
-                                                  hasResponseBegun_,
-                                                  false }),
-                                 SendFailure::NotConnected);
+      co_await FinishUnsent();
       co_return;
     }
     currentReplica_ = &*choice;
@@ -355,6 +355,16 @@
   }
 }
 
+asio::awaitable<void> SendLoop::FinishUnsent()
+{
+  co_await FinishWithFailure(DecideNextStep({ attempt_.route->repeatability,
+                                              SendFailure::NotConnected,
+                                              mayHaveRun_,
+                                              hasResponseBegun_,
+                                              false }),
+                             SendFailure::NotConnected);
+}
+
 void SendLoop::LogFailedSend(const ChosenReplica& aChoice,
                              const SendResult& aResult,
                              std::string_view aNext)
@@ -457,6 +467,7 @@
       { "unread", aChoice.uncachedTokens },
       { "cached", aChoice.cachedTokens },
       { "left", attempt_.responseDeadline - Now().steady } });
+  attempt_.isAtServer = true;
   ReleaseInputsAfterFetch(aChoice);
   // A server that turns a request away does so at once, and may say what binds
   // later sends, although the client has left.
@@ -474,10 +485,12 @@
   refusalTimer_.cancel();
   fetchTimer_.cancel();
   result.wasSent = true;
+  attempt_.isAtServer = false;
   attempt_.cancellation.ClearOnCancel();
   if (attempt_.cancellation.IsCancelled() && result.failure) {
     result.outcome = SendOutcome::Abandoned;
-    result.reason = "client-left";
+    result.reason =
+      attempt_.cancellation.IsStopping() ? "stopping" : "client-left";
   }
   co_return result;
 }
@@ -685,7 +698,7 @@
         }
       }
       if (!co_await WriteEvents(events)) {
-        attempt_.cancellation.Cancel();
+        attempt_.cancellation.Cancel(CancelReason::ClientLeft);
         co_return SendResult{
           SendFailure::Interrupted, SendOutcome::Abandoned, "client-left", true
         };
@@ -726,7 +739,7 @@
                                                   SendFailure aFailure)
 {
   attempt_.client->StopWatching();
-  if (attempt_.cancellation.IsCancelled()) {
+  if (attempt_.cancellation.HasClientLeft()) {
     RecordOutcome("client-left", 0);
     co_return;
   }
@@ -747,7 +760,10 @@
   if (aStep == NextStep::RefuseNotRun) {
     const ServiceAvailability availability = Availability();
     const Instant now = Now().steady;
-    if (availability.IsHeld()) {
+    if (!state_.MaySend(now)) {
+      kind = ErrorKind::Stopping;
+      retryAfter = StopSchedule::kRetryAfter;
+    } else if (availability.IsHeld()) {
       kind = ErrorKindOf(availability.hold);
       retryAfter = RetryAfterHold(
         availability, attempt_.priority, state_.DrawFraction(), now);
@@ -769,7 +785,7 @@
 {
   attempt_.client->StopWatching();
   attempt_.refusedTrait = aDecision.trait;
-  if (attempt_.cancellation.IsCancelled()) {
+  if (attempt_.cancellation.HasClientLeft()) {
     RecordOutcome("client-left", 0);
     co_return;
   }
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -83,6 +83,8 @@
   /** Ends the attempt without a usable response from a backend server. */
   boost::asio::awaitable<void> FinishWithFailure(NextStep aStep,
                                                  SendFailure aFailure);
+  /** Ends the attempt, which no backend server gets any more. */
+  boost::asio::awaitable<void> FinishUnsent();
   void LogFailedSend(const ChosenReplica& aChoice,
                      const SendResult& aResult,
                      std::string_view aNext);
