Notice silent gateways in time at any size of the fleet

Cause: a round of status reaches eight peers and nobody passed on whom it had heard, so that the time to notice a silent one grew with the fleet: 0.9 s and 1 s more for each eight peers, 8.9 s at 68 gateways, 168 s at 1,338. Owners of queues and limits were kept for that long. Change: each status tells the last round that its sender knows of every peer, six bytes each. Rounds are numbered by the peer itself: ages alone would be refreshed by the time that messages take, and a silent peer never noticed. Leaving goes round the same way. A peer that does not answer this gateway owns nothing for it for 2 s. A reader that has fallen silent counts for the choice of readers as long as before, as news of the next ones comes later. Ruled out: ages without round numbers (a peer gone for 2 s looked 1.2 s old).

--- a/core/gateway/gateway_messages.h
+++ b/core/gateway/gateway_messages.h
@@ -8,6 +8,7 @@
 #include "core/gateway/limit_allotment.h"
 #include "core/gateway/trait_trials.h"
 #include "core/gateway/prefix_cache_index.h"
+#include "core/gateway/peer_sightings.h"
 #include "core/gateway/resume_policy.h"
 #include "core/gateway/store_knowledge.h"
 #include "core/gateway/stream_origins.h"
@@ -36,7 +37,8 @@
   double processorShare = 1.0;
   KnowledgeClaim configuration;
   KnowledgeClaim backends;
-  std::vector<std::string> peers; ///< Peers it receives messages from.
+  std::vector<std::string> peers;      ///< Peers it receives messages from.
+  std::vector<PeerSighting> sightings; ///< Of the sender itself first.
   std::vector<BackendLoad> loads;
   std::vector<ServiceWait> waits; ///< For the queues that it owns.
   std::vector<PrefixRead> reads;  ///< Recently sent by this gateway.
@@ -138,6 +140,7 @@
 struct PieceAccepted
 {
   PieceJobId id;
+  ServiceWait wait; ///< Of a further job of its priority.
 };
 
 /** The job has ended. */
--- a/core/gateway/peer_liveness.h
+++ b/core/gateway/peer_liveness.h
@@ -18,10 +18,13 @@
 /** Silence after which one of so many peers counts as down. */
 constexpr Duration SilenceTimeout(std::size_t aPeers)
 {
-  // Each peer sends to `kPeersPerRound` others per round, so its messages
-  // arrive less often in a larger fleet.
-  const auto rounds = static_cast<std::int64_t>(1 + aPeers / kPeersPerRound);
-  return kPeerTimeout + kStatusInterval * 4 * (rounds - 1);
+  // Each round of messages multiplies the gateways that know of a sign of life.
+  Duration timeout = kPeerTimeout;
+  for (std::size_t reached = kPeersPerRound; reached < aPeers;
+       reached *= kPeersPerRound + 1) {
+    timeout += kStatusInterval;
+  }
+  return timeout;
 }
 
 } // namespace gypsum
--- a/core/gateway/store_knowledge.cpp
+++ b/core/gateway/store_knowledge.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -121,14 +122,23 @@
 
 bool StoreKnowledge::IsReader(std::span<const std::string> aLive, Instant aNow)
 {
+  const std::set<std::string_view> live(aLive.begin(), aLive.end());
   std::size_t rank = 0;
   std::size_t readersBefore = 0;
-  for (const std::string& address : aLive) {
-    const Peer* const peer = Find(address);
-    if (peer && peer->weight > ownWeight_) {
-      ++rank;
-      readersBefore += peer->claim.readAge < kReaderTimeout ? 1 : 0;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.weight <= ownWeight_) {
+      continue;
     }
+    const bool isLive = live.contains(address);
+    rank += isLive ? 1 : 0;
+    // A reader that has just fallen silent counts for a while: the claims of
+    // those that follow it arrive later than the news that it is gone, and the
+    // whole fleet would read meanwhile.
+    const Duration sinceClaim = isLive ? Duration{} : aNow - peer.claimedAt;
+    readersBefore +=
+      peer.claim.readAge < kReaderTimeout - std::max(Duration{}, sinceClaim)
+        ? 1
+        : 0;
   }
   const Duration turn = kTakeoverSpread * static_cast<std::int64_t>(rank) /
                         static_cast<std::int64_t>(aLive.size() + 1);
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -135,6 +135,40 @@
   aTo.set_read_age_us(static_cast<std::uint64_t>(aFrom.readAge.count()));
 }
 
+/** A sighting takes six bytes: the peer, little-endian, its round, and its age
+ * in units of `kSightingAgeUnit` with a bit for those that leave. */
+constexpr std::size_t kSightingBytes = 6;
+constexpr Duration kSightingAgeUnit = std::chrono::milliseconds(32);
+constexpr unsigned kLeavingBit = 0x80;
+constexpr unsigned kBitsPerByte = 8;
+
+static_assert(PeerSightings::kMaxAge / kSightingAgeUnit < kLeavingBit);
+
+std::string EncodeSightings(std::span<const PeerSighting> aFrom)
+{
+  std::string bytes;
+  bytes.reserve(aFrom.size() * kSightingBytes);
+  for (const PeerSighting& sighting : aFrom) {
+    for (unsigned byte = 0; byte < sizeof sighting.peer; ++byte) {
+      bytes.push_back(
+        static_cast<char>(sighting.peer >> (byte * kBitsPerByte)));
+    }
+    bytes.push_back(static_cast<char>(sighting.round));
+    const auto units = std::clamp<std::int64_t>(
+      sighting.age / kSightingAgeUnit, 0, kLeavingBit - 1);
+    bytes.push_back(static_cast<char>(static_cast<unsigned>(units) |
+                                      (sighting.isLeaving ? kLeavingBit : 0)));
+  }
+  return bytes;
+}
+
+void Fill(proto::ServiceWait& aTo, const ServiceWait& aFrom)
+{
+  aTo.set_service(aFrom.service);
+  aTo.set_priority(aFrom.priority);
+  aTo.set_wait_us(static_cast<std::uint64_t>(aFrom.wait.count()));
+}
+
 void FillBody(proto::Envelope& aTo, const GatewayStatus& aFrom)
 {
   proto::GatewayNews& to = *aTo.mutable_gateway_news();
@@ -145,6 +179,7 @@
   Fill(*to.mutable_configuration(), aFrom.configuration);
   Fill(*to.mutable_backends(), aFrom.backends);
   to.mutable_peers()->Add(aFrom.peers.begin(), aFrom.peers.end());
+  to.set_sightings(EncodeSightings(aFrom.sightings));
   for (const BackendLoad& load : aFrom.loads) {
     proto::BackendLoad& item = *to.add_loads();
     item.set_id(load.id);
@@ -153,10 +188,7 @@
     item.set_is_silent(load.isUnresponsive);
   }
   for (const ServiceWait& wait : aFrom.waits) {
-    proto::ServiceWait& item = *to.add_waits();
-    item.set_service(wait.service);
-    item.set_priority(wait.priority);
-    item.set_wait_us(wait.wait.count());
+    Fill(*to.add_waits(), wait);
   }
   for (const PrefixRead& read : aFrom.reads) {
     proto::PrefixRead& item = *to.add_reads();
@@ -228,7 +260,9 @@
 
 void FillBody(proto::Envelope& aTo, const PieceAccepted& aFrom)
 {
-  Fill(*aTo.mutable_piece_accepted()->mutable_id(), aFrom.id);
+  proto::PieceAccepted& to = *aTo.mutable_piece_accepted();
+  Fill(*to.mutable_id(), aFrom.id);
+  Fill(*to.mutable_wait(), aFrom.wait);
 }
 
 void FillBody(proto::Envelope& aTo, const PieceReply& aFrom)
@@ -618,6 +652,32 @@
            ReadBoundedAge(aFrom.read_age_us()) };
 }
 
+/** Bytes after the last whole sighting are ignored. */
+std::vector<PeerSighting> DecodeSightings(std::string_view aBytes)
+{
+  std::vector<PeerSighting> sightings(aBytes.size() / kSightingBytes);
+  for (PeerSighting& sighting : sightings) {
+    const auto byteAt = [&](std::size_t aIndex) {
+      return static_cast<std::uint32_t>(
+        static_cast<unsigned char>(aBytes[aIndex]));
+    };
+    for (unsigned byte = 0; byte < sizeof sighting.peer; ++byte) {
+      sighting.peer |= byteAt(byte) << (byte * kBitsPerByte);
+    }
+    sighting.round = static_cast<std::uint8_t>(byteAt(sizeof sighting.peer));
+    const std::uint32_t last = byteAt(kSightingBytes - 1);
+    sighting.age = kSightingAgeUnit * (last & (kLeavingBit - 1));
+    sighting.isLeaving = (last & kLeavingBit) != 0;
+    aBytes.remove_prefix(kSightingBytes);
+  }
+  return sightings;
+}
+
+ServiceWait Read(const proto::ServiceWait& aFrom)
+{
+  return { aFrom.service(), aFrom.priority(), ReadBoundedAge(aFrom.wait_us()) };
+}
+
 GatewayStatus Read(const proto::GatewayNews& aFrom)
 {
   GatewayStatus status;
@@ -628,13 +688,13 @@
   status.configuration = Read(aFrom.has_configuration(), aFrom.configuration());
   status.backends = Read(aFrom.has_backends(), aFrom.backends());
   status.peers = ToStrings(aFrom.peers());
+  status.sightings = DecodeSightings(aFrom.sightings());
   for (const proto::BackendLoad& load : aFrom.loads()) {
     status.loads.push_back(
       { load.id(), load.running(), load.unread_tokens(), load.is_silent() });
   }
   for (const proto::ServiceWait& wait : aFrom.waits()) {
-    status.waits.push_back(
-      { wait.service(), wait.priority(), Duration(wait.wait_us()) });
+    status.waits.push_back(Read(wait));
   }
   for (const proto::PrefixRead& item : aFrom.reads()) {
     PrefixRead read{ item.backend(), {} };
@@ -775,7 +835,7 @@
 
 std::optional<PeerBody> Read(const proto::PieceReply& aFrom)
 {
-  if (aFrom.failure() > static_cast<std::uint32_t>(PieceFailure::None)) {
+  if (aFrom.failure() > static_cast<std::uint32_t>(PieceFailure::Moved)) {
     return std::nullopt;
   }
   return PieceReply{ { Read(aFrom.id()),
@@ -815,7 +875,8 @@
     case proto::Envelope::kPieceRequest:
       return Read(aFrom.piece_request());
     case proto::Envelope::kPieceAccepted:
-      return PieceAccepted{ Read(aFrom.piece_accepted().id()) };
+      return PieceAccepted{ Read(aFrom.piece_accepted().id()),
+                            Read(aFrom.piece_accepted().wait()) };
     case proto::Envelope::kPieceReply:
       return Read(aFrom.piece_reply());
     case proto::Envelope::kPieceCancel:
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -24,6 +24,8 @@
 /** How long an address that has sent nothing stays a target, and how long a
  * silent peer is kept. */
 constexpr Duration kCandidateTimeout = std::chrono::seconds(10);
+/** How long a peer that does not answer this gateway owns nothing. */
+constexpr Duration kUnreachableTime = std::chrono::seconds(2);
 /** How long a peer must have been live before it may own queues. */
 constexpr Duration kMinOwnerUptime = std::chrono::milliseconds(600);
 
@@ -52,6 +54,7 @@
   : state_(aState)
   , platformState_(aPlatformState)
   , transport_(aState.settings.peerAddress)
+  , sightings_(PeerSightings::IdOf(aState.self.incarnation))
   , random_(static_cast<std::uint_fast32_t>(aState.self.incarnation))
 {
 }
@@ -104,6 +107,7 @@
     std::ranges::shuffle(status.peers, source);
     status.peers.resize(kMaxListedPeers);
   }
+  status.sightings = sightings_.Report(now, state_.IsStopping());
   status.loads = state_.loads.OwnLoads(now);
   status.reads = state_.prefixes.RecentReads(now);
   status.limits = state_.limits.All(now);
@@ -119,7 +123,40 @@
 
 bool PeerExchange::IsLive(const Peer& aPeer, Instant aNow) const
 {
-  return aNow - aPeer.lastReceivedAt < SilenceTimeout(peers_.size());
+  const auto aliveAt =
+    sightings_.LastAliveAt(PeerSightings::IdOf(aPeer.id.incarnation));
+  return aliveAt && aNow - *aliveAt < SilenceTimeout(peers_.size());
+}
+
+bool PeerExchange::IsLeaving(const Peer& aPeer) const
+{
+  return aPeer.status.isLeaving ||
+         sightings_.IsLeaving(PeerSightings::IdOf(aPeer.id.incarnation));
+}
+
+void PeerExchange::UpdatePeers(Instant aNow)
+{
+  sightings_.Expire(aNow);
+  for (auto& [address, peer] : peers_) {
+    const auto aliveAt =
+      sightings_.LastAliveAt(PeerSightings::IdOf(peer.id.incarnation));
+    peer.lastAliveAt = std::max(
+      { peer.lastAliveAt, peer.lastReceivedAt, aliveAt.value_or(Instant{}) });
+    if (IsLeaving(peer)) {
+      heardAt_.erase(address);
+    } else {
+      heardAt_[address] = peer.lastAliveAt;
+    }
+  }
+  std::erase_if(peers_, [&](const auto& aItem) {
+    if (aNow - aItem.second.lastAliveAt < kCandidateTimeout) {
+      return false;
+    }
+    state_.loads.RemovePeer(aItem.first);
+    state_.configurationKnowledge.RemovePeer(aItem.first);
+    state_.backendKnowledge.RemovePeer(aItem.first);
+    return true;
+  });
 }
 
 std::vector<std::string> PeerExchange::RoundTargets()
@@ -176,6 +213,48 @@
   }
 }
 
+void PeerExchange::OnPeerStopping(const std::string& aAddress,
+                                  Incarnation aIncarnation)
+{
+  const auto found = peers_.find(aAddress);
+  if (found != peers_.end() && found->second.id.incarnation == aIncarnation) {
+    sightings_.OnLeaving(PeerSightings::IdOf(aIncarnation), Now().steady);
+  }
+}
+
+void PeerExchange::OnNoAnswer(const std::string& aAddress, Instant aSince)
+{
+  const auto found = peers_.find(aAddress);
+  if (found == peers_.end() || found->second.lastReceivedAt >= aSince) {
+    return;
+  }
+  found->second.unreachableUntil = Now().steady + kUnreachableTime;
+  state_.log.Write(
+    LogClass::StateChange,
+    "peer-unreachable",
+    { { "peer", found->second.id.name },
+      { "address", aAddress },
+      { "silent", Now().steady - found->second.lastReceivedAt } });
+}
+
+void PeerExchange::OnQueueWait(const std::string& aAddress,
+                               const ServiceWait& aWait)
+{
+  const auto found = peers_.find(aAddress);
+  if (found == peers_.end()) {
+    return;
+  }
+  auto& waits = found->second.status.waits;
+  const auto wait = std::ranges::find_if(waits, [&](const ServiceWait& aItem) {
+    return aItem.service == aWait.service && aItem.priority == aWait.priority;
+  });
+  if (wait == waits.end()) {
+    waits.push_back(aWait);
+  } else {
+    wait->wait = aWait.wait;
+  }
+}
+
 void PeerExchange::SendStatusNow()
 {
   const GatewayStatus status = OwnStatus();
@@ -188,17 +267,10 @@
 {
   asio::steady_timer timer(state_.loop);
   for (;;) {
+    sightings_.BeginRound();
     SendStatusNow();
     const Instant now = Now().steady;
-    std::erase_if(peers_, [&](const auto& aItem) {
-      if (now - aItem.second.lastReceivedAt < kCandidateTimeout) {
-        return false;
-      }
-      state_.loads.RemovePeer(aItem.first);
-      state_.configurationKnowledge.RemovePeer(aItem.first);
-      state_.backendKnowledge.RemovePeer(aItem.first);
-      return true;
-    });
+    UpdatePeers(now);
     std::erase_if(heardAt_, [&](const auto& aItem) {
       return now - aItem.second >= kMemory;
     });
@@ -226,11 +298,14 @@
   }
   // Any message shows that the sender is alive, even if this gateway is not a
   // target of its status this round.
+  sightings_.OnHeard(PeerSightings::IdOf(header.sender.incarnation),
+                     Now().steady);
   const auto sender = std::ranges::find_if(peers_, [&](const auto& aItem) {
     return aItem.second.id.incarnation == header.sender.incarnation;
   });
   if (sender != peers_.end()) {
     sender->second.lastReceivedAt = Now().steady;
+    sender->second.unreachableUntil = {};
   }
   if (auto* const status = std::get_if<GatewayStatus>(&aMessage.body)) {
     OnStatus(header, std::move(*status));
@@ -284,6 +359,7 @@
   }
   peer.id = aHeader.sender;
   peer.lastReceivedAt = now;
+  sightings_.OnReport(aStatus.sightings, now);
   state_.loads.OnPeerReport(aStatus.address, aStatus.loads, now);
   for (const PrefixRead& read : aStatus.reads) {
     state_.prefixes.OnPeerRead(read, now);
@@ -292,7 +368,7 @@
     platformState_.OnLeaving(leaving, aHeader.sender.name);
   }
   peer.status = std::move(aStatus);
-  if (peer.status.isLeaving) {
+  if (IsLeaving(peer)) {
     heardAt_.erase(peer.status.address);
   } else {
     heardAt_[peer.status.address] = now;
@@ -319,7 +395,19 @@
   return owner;
 }
 
+std::string PeerExchange::QueueOwnerWithout(std::string_view aService,
+                                            std::string_view aPeer) const
+{
+  return OwnerOf(Checksum(aService), aPeer);
+}
+
 std::string PeerExchange::OwnerOf(std::uint64_t aKey) const
+{
+  return OwnerOf(aKey, "");
+}
+
+std::string PeerExchange::OwnerOf(std::uint64_t aKey,
+                                  std::string_view aExcluded) const
 {
   const Instant now = Now().steady;
   std::string owner;
@@ -329,8 +417,8 @@
                                    state_.settings.peerAddress,
                                    state_.settings.processorShare);
   for (const auto& [address, peer] : peers_) {
-    if (!IsLive(peer, now) || peer.status.isLeaving ||
-        now - peer.liveSince < kMinOwnerUptime) {
+    if (!IsLive(peer, now) || IsLeaving(peer) || address == aExcluded ||
+        now < peer.unreachableUntil || now - peer.liveSince < kMinOwnerUptime) {
       continue;
     }
     const double score =
@@ -386,7 +474,7 @@
   std::vector<std::string> live;
   for (const auto& [address, peer] : peers_) {
     const bool isExcluded =
-      aLeaving == LeavingPeers::Exclude && peer.status.isLeaving;
+      aLeaving == LeavingPeers::Exclude && IsLeaving(peer);
     if (IsLive(peer, now) && !isExcluded) {
       live.push_back(address);
     }
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/peer_liveness.h"
+#include "core/gateway/peer_sightings.h"
 #include "core/messages.h"
 #include "drivers/peer/peer_transport.h"
 #include "servers/gateway/gateway_state.h"
@@ -94,6 +95,9 @@
   /** Address of the gateway that owns a stage service's queue; empty if it is
    * this gateway. */
   std::string QueueOwnerOf(std::string_view aService) const;
+  /** The owner if a peer were none. */
+  std::string QueueOwnerWithout(std::string_view aService,
+                                std::string_view aPeer) const;
   /** The same for the owner of any other duty, by the hash of its name. */
   std::string OwnerOf(std::uint64_t aKey) const;
   /** Whether the peer is live and still has the given incarnation. */
@@ -121,6 +125,13 @@
   void SendBack(const Route& aRoute, Incarnation aTarget, PeerBody aBody);
   /** Notifies peers of a long prompt, so that they avoid its backend server. */
   void NotifyPromptSent(const PromptSent& aPrompt);
+  /** A peer has not answered what was sent to it since then. If nothing else
+   * of it has arrived, it owns nothing for a while. */
+  void OnNoAnswer(const std::string& aAddress, Instant aSince);
+  /** A peer has told the wait in a queue that it owns. */
+  void OnQueueWait(const std::string& aAddress, const ServiceWait& aWait);
+  /** A peer has said that it stops, by other means than its status. */
+  void OnPeerStopping(const std::string& aAddress, Incarnation aIncarnation);
   /** A response of a backend server says that it leaves. */
   void OnLeavingResponse(const BackendRecord& aBackend);
   /** Sends the status without waiting for the next round, for example before a
@@ -134,7 +145,8 @@
     GatewayStatus status;
     Instant liveSince{};
     Instant lastReceivedAt{};
-    Instant lastSentAt{};
+    Instant lastAliveAt{}; ///< By its own messages or what others have heard.
+    Instant unreachableUntil{};
   };
 
   boost::asio::awaitable<void> RoundLoop();
@@ -144,6 +156,11 @@
   void OnStatusForPredecessor(const PeerHeader& aHeader,
                               const GatewayStatus& aStatus);
   bool IsLive(const Peer& aPeer, Instant aNow) const;
+  bool IsLeaving(const Peer& aPeer) const;
+  std::string OwnerOf(std::uint64_t aKey, std::string_view aExcluded) const;
+  /** Brings up to date what is kept for long of each peer, and forgets those
+   * that are gone. */
+  void UpdatePeers(Instant aNow);
   PeerHeader HeaderFor(Incarnation aTarget) const;
   GatewayStatus OwnStatus() const;
   std::vector<std::string> RoundTargets();
@@ -160,6 +177,7 @@
   /** When each peer was heard that has not said that it leaves. */
   std::map<std::string, Instant, std::less<>> heardAt_;
   std::map<std::string, Peer, std::less<>> peers_;
+  PeerSightings sightings_;
   /** Expiry of each address from which nothing has been received. */
   std::map<std::string, Instant, std::less<>> candidates_;
   mutable std::map<std::string, std::string, std::less<>> owners_;
--- a/tests/gateway/knowledge_fleet.h
+++ b/tests/gateway/knowledge_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/peer_liveness.h"
+#include "core/gateway/peer_sightings.h"
 #include "core/gateway/store_knowledge.h"
 
 #include <algorithm>
@@ -32,11 +33,14 @@
     for (std::size_t index = 0; index < aSize; ++index) {
       nodes_.emplace_back("10.0." + std::to_string(index / 200) + "." +
                             std::to_string(index % 200) + ":7740",
+                          static_cast<std::uint32_t>(index),
                           aSeed + index);
       byAddress_[nodes_.back().address] = index;
     }
     for (std::size_t index = 0; index < aSize; ++index) {
-      nodes_[index].heardAt.assign(aSize, now_);
+      for (std::uint32_t peer = 0; peer < aSize; ++peer) {
+        nodes_[index].sightings.OnHeard(peer, now_);
+      }
       After(Random(250), index, [this, index] { Round(index); });
       After(Random(50), index, [this, index] { Tick(index); });
       After(Random(50), index, [this, index] { Follow(index); });
@@ -151,9 +155,10 @@
 
   struct Node
   {
-    Node(std::string aAddress, std::uint64_t aSeed)
+    Node(std::string aAddress, std::uint32_t aIndex, std::uint64_t aSeed)
       : address(std::move(aAddress))
       , knowledge(address, aSeed)
+      , sightings(aIndex)
     {
     }
     std::string address;
@@ -167,8 +172,8 @@
     bool reachesStore = true;
     bool reachesPeers = true;
     bool wasUrgent = true;
-    std::size_t fetched = 0;      ///< Versions that peers have fetched from it.
-    std::vector<Instant> heardAt; ///< By the index of the peer.
+    std::size_t fetched = 0; ///< Versions that peers have fetched from it.
+    PeerSightings sightings; ///< By the index of the peer.
     std::vector<std::string> live;
   };
   struct Event
@@ -209,7 +214,7 @@
     const Duration way =
       std::chrono::milliseconds(1) + Random(random_() % 20 == 0 ? 40 : 3);
     After(way, to, [this, aFrom, to, action = std::move(aAction)] {
-      nodes_[to].heardAt[aFrom] = now_;
+      nodes_[to].sightings.OnHeard(static_cast<std::uint32_t>(aFrom), now_);
       action(to);
     });
   }
@@ -229,7 +234,9 @@
            target,
            [this,
             from = nodes_[aNode].address,
+            sightings = nodes_[aNode].sightings.Report(now_, false),
             claim = nodes_[aNode].knowledge.Claim(now_)](std::size_t aTo) {
+             nodes_[aTo].sightings.OnReport(sightings, now_);
              StoreKnowledge& knowledge = nodes_[aTo].knowledge;
              knowledge.OnClaim(from, claim, now_);
              if (knowledge.IsWorthAsking(from, now_)) {
@@ -246,9 +253,13 @@
   {
     Node& node = nodes_[aNode];
     node.live.clear();
+    node.sightings.BeginRound();
+    node.sightings.Expire(now_);
     for (std::size_t peer = 0; peer < nodes_.size(); ++peer) {
+      const auto aliveAt =
+        node.sightings.LastAliveAt(static_cast<std::uint32_t>(peer));
       const bool isLive =
-        now_ - node.heardAt[peer] < SilenceTimeout(nodes_.size() - 1);
+        aliveAt && now_ - *aliveAt < SilenceTimeout(nodes_.size() - 1);
       if (isLive && peer != aNode) {
         node.live.push_back(nodes_[peer].address);
       }
