Let only the next owner take over the queue of a stage service

Cause: a job that its owner did not accept within 150 ms went into a queue of the requester's own. Change: the next owner by the same hash gets the job, then one more, then this gateway. The time that an owner has to accept follows its usual time. Its answer tells the wait in its queue, so that refusals on arrival know it. An owner that stops hands its jobs over in place of computing them until its end.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -210,6 +210,20 @@
   }
 }
 
+void BatchQueue::HandOver(Leaving aLeaving)
+{
+  std::vector<PieceJobId> leaving;
+  for (const auto& [id, state] : jobs_) {
+    const bool hasBegun = state.waiting.size() < state.job.pieces;
+    if (aLeaving == Leaving::All || !hasBegun) {
+      leaving.push_back(id);
+    }
+  }
+  for (const PieceJobId& id : leaving) {
+    Finish(*StateOf(id), PieceFailure::Moved);
+  }
+}
+
 std::vector<PieceJobEnd> BatchQueue::TakeEnded()
 {
   return std::exchange(ended_, {});
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -54,6 +54,7 @@
   InputMissing, ///< A result that the pieces read no longer exists.
   Error,        ///< Backend servers failed too often.
   None,         ///< No failure.
+  Moved,        ///< Not begun; the queue has another owner now.
 };
 
 /** How the pieces of a job may be sent. */
@@ -145,6 +146,14 @@
   void Admit(PieceJobId aId, PieceAdmission aAdmission);
   /** Ends a job as failed by its servers. */
   void Fail(PieceJobId aId);
+  /** Which jobs leave a queue that another gateway takes over. */
+  enum class Leaving
+  {
+    NotBegun, ///< Those without a piece in a call or a result.
+    All,
+  };
+  /** Ends jobs as moved. */
+  void HandOver(Leaving aLeaving);
   /** Takes the jobs that have ended. */
   std::vector<PieceJobEnd> TakeEnded();
   /** Takes the results that no job is waiting for any more. */
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -352,6 +352,7 @@
                        { "connections", clientListener_.Connections() } });
     peers_.SendStatusNow();
     origins_.HandOver();
+    pieces_.HandOver(BatchQueue::Leaving::NotBegun);
     asio::co_spawn(loop_, Drain(), asio::detached);
   }
 }
@@ -381,6 +382,12 @@
   }
   clientListener_.StopAccepting();
   clientListener_.CloseIdle();
+  pieces_.HandOver(BatchQueue::Leaving::All);
+  // Time for the last messages to peers.
+  timer.expires_after(kDrainPollInterval);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+    asio::redirect_error(asio::use_awaitable, ignored));
   loop_.stop();
 }
 
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -22,7 +22,11 @@
 
 /** An owner accepts a job within one round trip. The limit is below the
  * 200 ms after which a lost packet is retransmitted. */
-constexpr Duration kAcceptTimeout = std::chrono::milliseconds(150);
+constexpr Duration kMinAcceptTimeout = std::chrono::milliseconds(150);
+/** Of an owner under load; about the time of a few calls. */
+constexpr Duration kMaxAcceptTimeout = std::chrono::milliseconds(1'000);
+/** Owners that do not answer, until a gateway computes a job itself. */
+constexpr std::size_t kMaxSilentOwners = 2;
 /** How often a pending job checks whether the owner is alive. */
 constexpr Duration kOwnerCheckInterval = std::chrono::milliseconds(150);
 /** Interval at which results are released in groups. */
@@ -78,11 +82,19 @@
 Duration PieceService::ExpectedWait(std::string_view aService,
                                     std::uint32_t aPriority) const
 {
-  const std::uint32_t priority = std::min(aPriority, kPriorityClasses - 1);
   const std::string owner = peers_.QueueOwnerOf(aService);
   if (!owner.empty()) {
-    return peers_.QueueWaitAt(owner, aService, priority).value_or(Duration{});
+    return peers_
+      .QueueWaitAt(owner, aService, std::min(aPriority, kPriorityClasses - 1))
+      .value_or(Duration{});
   }
+  return ExpectedLocalWait(aService, aPriority);
+}
+
+Duration PieceService::ExpectedLocalWait(std::string_view aService,
+                                         std::uint32_t aPriority) const
+{
+  const std::uint32_t priority = std::min(aPriority, kPriorityClasses - 1);
   const auto found = queues_.find(aService);
   if (found == queues_.end()) {
     return Duration{};
@@ -120,48 +132,74 @@
   std::string aService,
   PieceJob aJob,
   CancellationToken& aCancellation)
+{
+  const Instant begin = Now().steady;
+  std::vector<std::string> silentOwners;
+  while (!aCancellation.IsCancelled() && Now().steady < aJob.deadline) {
+    // Of all gateways only the next owner takes over: calls from several queues
+    // would find the servers full.
+    const std::string owner =
+      silentOwners.empty() ? peers_.QueueOwnerOf(aService)
+      : silentOwners.size() < kMaxSilentOwners
+        ? peers_.QueueOwnerWithout(aService, silentOwners.back())
+        : "";
+    PieceJobEnd end = co_await ComputeAt(owner, aService, aJob, aCancellation);
+    if (end.failure != PieceFailure::Moved) {
+      state_.metrics.RecordStageWait(aService, Now().steady - begin);
+      co_return end;
+    }
+    if (!end.id.requester) {
+      silentOwners.push_back(owner);
+    }
+  }
+  co_return PieceJobEnd{ aJob.id, PieceFailure::Late, {} };
+}
+
+asio::awaitable<PieceJobEnd> PieceService::ComputeAt(
+  std::string aOwner,
+  const std::string& aService,
+  PieceJob aJob,
+  CancellationToken& aCancellation)
 {
   aJob.id = { state_.self.incarnation, ++lastJobNumber_ };
   const PieceJobId id = aJob.id;
   const Instant deadline = aJob.deadline;
   auto pending = std::make_shared<PendingJob>(state_.loop);
   pendingJobs_[id.number] = pending;
-  const std::string owner = peers_.QueueOwnerOf(aService);
-  const Incarnation ownerIncarnation = peers_.IncarnationOf(owner);
+  const Incarnation ownerIncarnation = peers_.IncarnationOf(aOwner);
   const Instant begin = Now().steady;
-  bool isRemote = !owner.empty();
+  const bool isRemote = !aOwner.empty();
+  pending->owner = aOwner;
+  pending->sentAt = begin;
+  ResponseTime& acceptTime =
+    acceptTimes_.try_emplace(aOwner, kMinAcceptTimeout, kMaxAcceptTimeout)
+      .first->second;
+  const Instant acceptDeadline = begin + acceptTime.Timeout();
   if (isRemote) {
     peers_.SendTo(
-      owner,
+      aOwner,
       PieceRequest{ aService, aJob, aJob.due - begin, aJob.deadline - begin });
   } else {
     Submit(aService, aJob, {});
   }
-  while (!pending->end && !aCancellation.IsCancelled()) {
+  bool isOwnerSilent = false;
+  while (!pending->end && !aCancellation.IsCancelled() && !isOwnerSilent) {
     const Instant now = Now().steady;
     if (now >= deadline) {
       break;
     }
     const bool hasAcceptTimedOut =
-      !pending->isAccepted && now >= begin + kAcceptTimeout;
+      !pending->isAccepted && now >= acceptDeadline;
     if (isRemote &&
-        (hasAcceptTimedOut || !peers_.IsLive(owner, ownerIncarnation))) {
-      state_.log.Write(LogClass::Failure,
-                       "pieces-taken-over",
-                       { { "id", aJob.attempt },
-                         { "stage", aJob.stage },
-                         { "owner", owner },
-                         { "accepted", pending->isAccepted ? 1U : 0U } });
-      isRemote = false;
-      peers_.SendTo(owner, PieceCancel{ aService, id });
-      Submit(aService, aJob, {});
+        (hasAcceptTimedOut || !peers_.IsLive(aOwner, ownerIncarnation))) {
+      isOwnerSilent = true;
       continue;
     }
     Instant wakeAt = deadline;
     if (isRemote) {
       wakeAt = std::min(deadline,
                         pending->isAccepted ? now + kOwnerCheckInterval
-                                            : begin + kAcceptTimeout);
+                                            : acceptDeadline);
     }
     aCancellation.SetOnCancel([pending] { pending->timer.cancel(); });
     pending->timer.expires_at(wakeAt);
@@ -172,17 +210,49 @@
   }
   pendingJobs_.erase(id.number);
   if (pending->end) {
-    state_.metrics.RecordStageWait(aService, Now().steady - begin);
+    if (pending->end->failure == PieceFailure::Moved) {
+      peers_.OnPeerStopping(aOwner, ownerIncarnation);
+      state_.log.Write(LogClass::StateChange,
+                       "pieces-moved",
+                       { { "id", aJob.attempt },
+                         { "stage", aJob.stage },
+                         { "owner", aOwner } });
+    }
     co_return std::move(*pending->end);
   }
   if (isRemote) {
-    peers_.SendTo(owner, PieceCancel{ aService, id });
+    peers_.SendTo(aOwner, PieceCancel{ aService, id });
   } else if (Queue* const queue = FindOrCreateQueue(aService)) {
     queue->queue.Cancel(id);
     ReleaseLocally(queue->queue.TakeOrphans());
   }
   requesters_.erase(id);
-  co_return PieceJobEnd{ id, PieceFailure::Late, {} };
+  if (!isOwnerSilent) {
+    co_return PieceJobEnd{ id, PieceFailure::Late, {} };
+  }
+  if (!pending->isAccepted) {
+    acceptTimes_.at(aOwner).OnTimeout();
+    peers_.OnNoAnswer(aOwner, begin);
+  }
+  state_.log.Write(LogClass::Failure,
+                   "pieces-taken-over",
+                   { { "id", aJob.attempt },
+                     { "stage", aJob.stage },
+                     { "owner", aOwner },
+                     { "waited", Now().steady - begin },
+                     { "accepted", pending->isAccepted ? 1U : 0U } });
+  co_return PieceJobEnd{ {}, PieceFailure::Moved, {} };
+}
+
+void PieceService::HandOver(BatchQueue::Leaving aLeaving)
+{
+  for (auto& [service, queue] : queues_) {
+    if (peers_.QueueOwnerOf(service).empty()) {
+      continue;
+    }
+    queue->queue.HandOver(aLeaving);
+    DeliverFinishedJobs(*queue);
+  }
 }
 
 void PieceService::Submit(const std::string& aService,
@@ -465,8 +535,21 @@
     request->job.due = now + request->dueIn;
     request->job.deadline = now + request->deadlineIn;
     const Incarnation requesterIncarnation = aHeader.sender.incarnation;
+    if (state_.IsStopping()) {
+      peers_.SendBack(
+        aRoute,
+        requesterIncarnation,
+        PieceReply{ { request->job.id, PieceFailure::Moved, {} } });
+      return;
+    }
     peers_.SendBack(
-      aRoute, requesterIncarnation, PieceAccepted{ request->job.id });
+      aRoute,
+      requesterIncarnation,
+      PieceAccepted{
+        request->job.id,
+        { request->service,
+          std::min(request->job.priority, kPriorityClasses - 1),
+          ExpectedLocalWait(request->service, request->job.priority) } });
     Submit(request->service,
            std::move(request->job),
            { std::move(aRoute), requesterIncarnation });
@@ -476,7 +559,10 @@
     const auto pending = pendingJobs_.find(accepted->id.number);
     if (pending != pendingJobs_.end() &&
         accepted->id.requester == state_.self.incarnation) {
-      pending->second->isAccepted = true;
+      PendingJob& job = *pending->second;
+      job.isAccepted = true;
+      acceptTimes_.at(job.owner).OnSample(Now().steady - job.sentAt);
+      peers_.OnQueueWait(job.owner, accepted->wait);
     }
     return;
   }
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/batch_queue.h"
 #include "core/gateway/gateway_messages.h"
+#include "core/gateway/response_time.h"
 #include "core/gateway/stage_plan.h"
 #include "servers/gateway/cancellation_token.h"
 #include "servers/gateway/crash_service.h"
@@ -45,6 +46,9 @@
     std::string aService,
     PieceJob aJob,
     CancellationToken& aCancellation);
+  /** Hands jobs to the next owners of the local queues, as this gateway
+   * stops. */
+  void HandOver(BatchQueue::Leaving aLeaving);
   /** Number of priority classes; the last one includes all higher numbers. */
   static constexpr std::uint32_t kPriorityClasses = 6;
 
@@ -68,6 +72,8 @@
     }
     boost::asio::steady_timer timer;
     std::optional<PieceJobEnd> end;
+    std::string owner; ///< Empty for this gateway.
+    Instant sentAt{};
     bool isAccepted = false;
   };
   /** The gateway that has submitted a job. */
@@ -87,6 +93,16 @@
     boost::asio::steady_timer timer; ///< For the next wake-up of the queue.
   };
 
+  /** Expected wait in the local queue; zero if there is none. */
+  Duration ExpectedLocalWait(std::string_view aService,
+                             std::uint32_t aPriority) const;
+  /** Computes the pieces at one owner; empty for this gateway. The job has
+   * moved, with an empty id, if the owner does not answer. */
+  boost::asio::awaitable<PieceJobEnd> ComputeAt(
+    std::string aOwner,
+    const std::string& aService,
+    PieceJob aJob,
+    CancellationToken& aCancellation);
   /** The local queue with current settings; null if not a stage service. */
   Queue* FindOrCreateQueue(const std::string& aService);
   /** Adds a job to the local queue. */
@@ -143,6 +159,8 @@
   /** Handles by address of the backend server that holds the results. */
   std::map<std::string, std::vector<std::string>, std::less<>>
     resultsToRelease_;
+  /** Time until an owner accepts a job, by its address. */
+  std::map<std::string, ResponseTime, std::less<>> acceptTimes_;
   std::uint64_t lastJobNumber_ = 0;
 };
 
--- a/tests/cell/test_planned_stop.cpp
+++ b/tests/cell/test_planned_stop.cpp
@@ -233,4 +233,37 @@
   changes.get();
 }
 
+TEST_CASE_FIXTURE(PlannedStopFixture,
+                  "[PlannedStop] pieces at a queue whose owner stops are "
+                  "computed for the requests of other gateways")
+{
+  SetFaults(cell.StageServers(),
+            [](CellFaults& aFaults) { aFaults.delayFactor = 6.0; });
+  const auto sendMany = [&](std::size_t aGateway) {
+    std::vector<std::future<bool>> responses;
+    for (int request = 0; request < 6; ++request) {
+      const CellRequest staged = Make("/staged/x");
+      responses.push_back(std::async(std::launch::async, [&, staged, aGateway] {
+        return IsServed(
+          staged,
+          CellClient(cell.Gateways()[aGateway].clientAddress).Send(staged));
+      }));
+    }
+    return responses;
+  };
+  // One of the two owns the queue.
+  for (const std::size_t stopped : { std::size_t{ 0 }, std::size_t{ 1 } }) {
+    auto responses = sendMany(1 - stopped);
+    std::this_thread::sleep_for(milliseconds(100));
+    CellGateway& gateway = cell.Gateways()[stopped];
+    gateway.process->Signal(SIGTERM);
+    for (auto& response : responses) {
+      CHECK(response.get());
+    }
+    CHECK(gateway.process->Wait() == 0);
+    cell.StartGateway(gateway);
+    REQUIRE(cell.WaitUntilReady(gateway));
+  }
+}
+
 } // namespace gypsum::tests
