Order a long stage queue at most a hundred times a second

Cause: each new job and each end of a call visited all waiting jobs several times and all stored results once, so that the work of an owner grew with its queue until it was too slow to accept jobs. Change: a queue of more than 32 jobs keeps its order for 10 ms; results expire in order of time; jobs are admitted singly only beside verdicts on crashes.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -49,6 +49,10 @@
 /** Results smaller than the memory of a replica divided by this do not count in
  * the hold time, as no job waits for their memory. */
 constexpr std::uint64_t kHoldSampleDivisor = 1'000;
+/** A queue of up to this many jobs is ordered anew at each event. */
+constexpr std::size_t kShortQueue = 32;
+/** Time for which a longer queue keeps its order; short beside a call. */
+constexpr Duration kOrderInterval = std::chrono::milliseconds(10);
 /** Usable share of the configured memory, as result sizes are estimates. */
 constexpr double kUsableMemoryShare = 0.95;
 
@@ -106,14 +110,26 @@
   std::iota(state.waiting.rbegin(), state.waiting.rend(), 0U);
   state.missing = aJob.pieces;
   state.job = std::move(aJob);
+  waitingPieces_ += state.waiting.size();
+  ++unorderedJobs_;
   jobs_.emplace(id, std::move(state));
 }
 
+void BatchQueue::Erase(PieceJobId aId)
+{
+  const auto found = jobs_.find(aId);
+  waitingPieces_ -= found->second.waiting.size();
+  if (found->second.position) {
+    order_[*found->second.position] = nullptr;
+  }
+  jobs_.erase(found);
+}
+
 void BatchQueue::Cancel(PieceJobId aId)
 {
   if (JobState* const state = StateOf(aId)) {
     OrphanResults(*state);
-    jobs_.erase(aId);
+    Erase(aId);
   }
 }
 
@@ -152,14 +168,15 @@
 
 void BatchQueue::ExpireResults(Instant aNow)
 {
-  std::erase_if(results_, [&](const auto& aItem) {
-    if (aNow < aItem.second.expiresAt) {
-      return false;
+  while (!expiries_.empty() && expiries_.front().first <= aNow) {
+    const auto result = results_.find(expiries_.front().second);
+    if (result != results_.end()) {
+      std::uint64_t& used = replicas_[result->second.replica].usedBytes;
+      used -= std::min(used, result->second.bytes);
+      results_.erase(result);
     }
-    std::uint64_t& used = replicas_[aItem.second.replica].usedBytes;
-    used -= std::min(used, aItem.second.bytes);
-    return true;
-  });
+    expiries_.pop_front();
+  }
 }
 
 std::uint64_t BatchQueue::FreeMemoryOf(const ReplicaState& aReplica) const
@@ -182,7 +199,7 @@
     OrphanResults(aState);
   }
   ended_.push_back(std::move(end));
-  jobs_.erase(id);
+  Erase(id);
 }
 
 std::vector<PieceJobId> BatchQueue::WaitingJobs() const
@@ -200,6 +217,17 @@
 {
   if (JobState* const state = StateOf(aId)) {
     state->admission = aAdmission;
+    hasHeldJobs_ = hasHeldJobs_ || aAdmission != PieceAdmission::Shared;
+  }
+}
+
+void BatchQueue::AdmitAll()
+{
+  if (!std::exchange(hasHeldJobs_, false)) {
+    return;
+  }
+  for (auto& [id, state] : jobs_) {
+    state.admission = PieceAdmission::Shared;
   }
 }
 
@@ -265,21 +293,24 @@
   return capacity;
 }
 
-std::vector<BatchQueue::JobState*> BatchQueue::OrderedJobs(
-  std::span<const Candidate> aCandidates,
-  Instant aNow)
+bool BatchQueue::IsOrderDue(Instant aNow) const
+{
+  return jobs_.size() <= kShortQueue || aNow >= orderedAt_ + kOrderInterval;
+}
+
+void BatchQueue::Reorder(std::span<const Candidate> aCandidates, Instant aNow)
 {
-  const std::size_t waiting = WaitingPieces();
   std::vector<JobState*> states;
   std::vector<ScheduledJob> jobs;
   for (auto& [id, state] : jobs_) {
+    state.position.reset();
     if (state.waiting.empty() || state.admission == PieceAdmission::Wait) {
       continue;
     }
     const auto pieces = static_cast<std::uint32_t>(state.waiting.size());
     states.push_back(&state);
     // If more pieces wait than fit into a call, other jobs fill up its call.
-    const std::uint32_t inCall = waiting > spec_.maxPieces
+    const std::uint32_t inCall = waitingPieces_ > spec_.maxPieces
                                    ? spec_.maxPieces
                                    : std::min(pieces, spec_.maxPieces);
     jobs.push_back({ state.job.priority,
@@ -290,7 +321,8 @@
   }
   const StageSchedule schedule =
     ScheduleJobs(jobs, CapacityOf(aCandidates), aNow);
-  std::vector<JobState*> ordered;
+  order_.clear();
+  orderBegin_ = 0;
   for (std::size_t position = 0; position < schedule.order.size(); ++position) {
     JobState* const state = states[schedule.order[position]];
     state->isInTime = position < schedule.inTime;
@@ -299,9 +331,25 @@
       Finish(*state, PieceFailure::Late);
       continue;
     }
-    ordered.push_back(state);
+    state->position = order_.size();
+    order_.push_back(state);
   }
-  return ordered;
+  orderedAt_ = aNow;
+  orderedJobs_ += jobs.size();
+  unorderedJobs_ = 0;
+}
+
+std::span<BatchQueue::JobState* const> BatchQueue::WaitingOrder()
+{
+  const auto waits = [](const JobState* aState) {
+    return aState && !aState->waiting.empty();
+  };
+  const auto first =
+    std::find_if(order_.begin() + static_cast<std::ptrdiff_t>(orderBegin_),
+                 order_.end(),
+                 waits);
+  orderBegin_ = static_cast<std::size_t>(first - order_.begin());
+  return std::span(order_).subspan(orderBegin_);
 }
 
 bool BatchQueue::IsLarge(const JobState& aState) const
@@ -327,16 +375,19 @@
                                               std::uint64_t aFreeMemory,
                                               std::string_view aZone)
 {
-  const std::size_t waiting =
-    std::accumulate(aJobs.begin(),
-                    aJobs.end(),
-                    std::size_t{ 0 },
-                    [](std::size_t aSum, const JobState* aState) {
-                      return aSum + aState->waiting.size();
-                    });
   // Idle replicas share the waiting pieces: two short calls finish before one
   // long call.
   const std::size_t idle = std::max<std::size_t>(1, aIdle);
+  // More pieces than these make no difference.
+  const std::size_t mostWaiting =
+    spec_.maxPieces * std::max(idle, replicas_.size());
+  std::size_t waiting = 0;
+  for (const JobState* const state : aJobs) {
+    waiting += state ? state->waiting.size() : 0;
+    if (waiting >= mostWaiting) {
+      break;
+    }
+  }
   const std::size_t share = (waiting + idle - 1) / idle;
   // With more than half a call per replica waiting, full calls matter more than
   // the preferred zone.
@@ -348,6 +399,9 @@
     if (remaining == 0 || (!items.empty() && items.size() >= share)) {
       break;
     }
+    if (!state || state->waiting.empty()) {
+      continue;
+    }
     const bool isOtherZone = !items.empty() && !isBacklog &&
                              !state->job.preferredZone.empty() &&
                              state->job.preferredZone != aZone;
@@ -369,6 +423,7 @@
       items.push_back({ state->job.id, state->waiting.back() });
       state->waiting.pop_back();
     }
+    waitingPieces_ -= count;
     if (isAlone && !items.empty()) {
       break;
     }
@@ -477,13 +532,22 @@
 {
   wakeAt_.reset();
   ExpireResults(aNow);
-  FailLateJobs(aPermissions
-                 ? AvailabilityOf(aReplicas, std::nullopt, *aPermissions, aNow)
-                     .EarliestSend(aNow)
-                 : aNow);
+  const bool isOrderDue = IsOrderDue(aNow);
+  if (isOrderDue) {
+    FailLateJobs(aPermissions ? AvailabilityOf(
+                                  aReplicas, std::nullopt, *aPermissions, aNow)
+                                  .EarliestSend(aNow)
+                              : aNow);
+  }
   const std::vector<Candidate> candidates =
     FindCandidates(aReplicas, aPermissions, aNow);
-  const std::vector<JobState*> ordered = OrderedJobs(candidates, aNow);
+  if (isOrderDue) {
+    Reorder(candidates, aNow);
+  }
+  if (unorderedJobs_ > 0) {
+    WakeBy(orderedAt_ + kOrderInterval);
+  }
+  const std::span<JobState* const> ordered = WaitingOrder();
   if (ordered.empty()) {
     return std::nullopt;
   }
@@ -497,7 +561,8 @@
     std::ranges::count(candidates, true, &Candidate::isFree));
   bool isMemoryReserved = false;
   for (std::size_t first = 0; idle > 0 && first < ordered.size(); ++first) {
-    if (isMemoryReserved && IsLarge(*ordered[first])) {
+    const bool isWaiting = ordered[first] && !ordered[first]->waiting.empty();
+    if (!isWaiting || (isMemoryReserved && IsLarge(*ordered[first]))) {
       continue;
     }
     const Candidate* const best =
@@ -506,7 +571,7 @@
     // A job that finds no memory, or whose best replica is still busy, lets the
     // jobs behind it go first.
     if (best && best->isFree) {
-      return MakeBatch(std::span(ordered).subspan(first), *best, idle, aNow);
+      return MakeBatch(ordered.subspan(first), *best, idle, aNow);
     }
   }
   // No event reports that results have expired, so check again later.
@@ -514,6 +579,17 @@
   return std::nullopt;
 }
 
+void BatchQueue::PutBack(JobState& aState, std::uint32_t aPiece)
+{
+  aState.waiting.push_back(aPiece);
+  ++waitingPieces_;
+  if (aState.position) {
+    orderBegin_ = std::min(orderBegin_, *aState.position);
+  } else {
+    ++unorderedJobs_;
+  }
+}
+
 void BatchQueue::Requeue(const Batch& aBatch, bool aCountsFailure)
 {
   for (const BatchItem& item : aBatch.items) {
@@ -521,7 +597,7 @@
     if (!state) {
       continue;
     }
-    state->waiting.push_back(item.piece);
+    PutBack(*state, item.piece);
     if (aCountsFailure && ++state->failures > kMaxFailures) {
       Finish(*state, PieceFailure::Error);
     }
@@ -555,7 +631,7 @@
     Finish(*state, aResult.failure);
     return;
   }
-  state->waiting.push_back(aItem.piece);
+  PutBack(*state, aItem.piece);
   if (!aResult.isOutOfMemory && ++state->failures > kMaxFailures) {
     Finish(*state, PieceFailure::Error);
   }
@@ -573,9 +649,8 @@
     }
     const std::uint64_t bytes = state->job.resultBytes;
     replica.usedBytes += bytes;
-    results_[aResults[index].handle] = {
-      aBatch.backend->id, bytes, aNow, aNow + spec_.resultLifetime
-    };
+    results_[aResults[index].handle] = { aBatch.backend->id, bytes, aNow };
+    expiries_.emplace_back(aNow + spec_.resultLifetime, aResults[index].handle);
   }
 }
 
@@ -636,16 +711,6 @@
   Requeue(aBatch, true);
 }
 
-std::size_t BatchQueue::WaitingPieces() const
-{
-  return std::accumulate(jobs_.begin(),
-                         jobs_.end(),
-                         std::size_t{ 0 },
-                         [](std::size_t aSum, const auto& aItem) {
-                           return aSum + aItem.second.waiting.size();
-                         });
-}
-
 Duration BatchQueue::MemoryTime(std::uint32_t aPriority) const
 {
   if (spec_.resultCapacityBytes == 0) {
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -7,8 +7,9 @@
 #include "core/gateway/stage_schedule.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
-#include <list>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -142,6 +143,8 @@
              Instant aNow);
   /** Jobs with pieces that are not in a call. */
   std::vector<PieceJobId> WaitingJobs() const;
+  /** Holds no job back any more. */
+  void AdmitAll();
   /** Holds for the calls that start from now on. */
   void Admit(PieceJobId aId, PieceAdmission aAdmission);
   /** Ends a job as failed by its servers. */
@@ -167,7 +170,9 @@
                         Instant aNow) const;
   /** When to call `Next` again even if no event occurs; empty: not needed. */
   std::optional<Instant> WakeAt() const { return wakeAt_; }
-  std::size_t WaitingPieces() const;
+  std::size_t WaitingPieces() const { return waitingPieces_; }
+  /** Jobs that schedules have put in order so far: the work of the queue. */
+  std::uint64_t OrderedJobs() const { return orderedJobs_; }
   bool IsIdle() const { return jobs_.empty() && calls_.empty(); }
   const PieceJob* Find(PieceJobId aId) const;
 
@@ -181,6 +186,7 @@
     std::uint32_t failures = 0;
     PieceAdmission admission = PieceAdmission::Shared;
     bool isInTime = true; ///< Meets its due time by the last schedule.
+    std::optional<std::size_t> position; ///< In `order_`.
   };
   struct ReplicaState
   {
@@ -204,7 +210,6 @@
     std::string replica;
     std::uint64_t bytes = 0;
     Instant computedAt{};
-    Instant expiresAt{};
   };
 
   Duration CallTimeOf(std::size_t aPieces) const;
@@ -223,10 +228,15 @@
                                         const SendPermissions* aPermissions,
                                         Instant aNow);
   StageCapacity CapacityOf(std::span<const Candidate> aCandidates) const;
+  /** Whether the jobs are to be put in order again. A long queue keeps an order
+   * for a while: the work of each event would grow with its length. */
+  bool IsOrderDue(Instant aNow) const;
   /** Orders the waiting jobs; fails those that the work before them makes
    * miss their deadlines. */
-  std::vector<JobState*> OrderedJobs(std::span<const Candidate> aCandidates,
-                                     Instant aNow);
+  void Reorder(std::span<const Candidate> aCandidates, Instant aNow);
+  /** Jobs of the order from the first on that still waits. */
+  std::span<JobState* const> WaitingOrder();
+  void Erase(PieceJobId aId);
   const Candidate* BestCandidateFor(const JobState& aState,
                                     std::span<const Candidate> aCandidates,
                                     Instant aNow) const;
@@ -254,6 +264,7 @@
                      Instant aNow);
   void Finish(JobState& aState, PieceFailure aFailure);
   void Requeue(const Batch& aBatch, bool aCountsFailure);
+  void PutBack(JobState& aState, std::uint32_t aPiece);
   void ApplyResult(const BatchItem& aItem, const BatchItemResult& aResult);
   JobState* StateOf(PieceJobId aId);
 
@@ -264,6 +275,16 @@
   std::vector<PieceJobEnd> ended_;
   std::vector<std::string> orphans_;
   std::map<std::string, Result, std::less<>> results_;
+  /** Handles in the order in which their results expire. */
+  std::deque<std::pair<Instant, std::string>> expiries_;
+  /** Jobs as last ordered; null for those that have ended since. */
+  std::vector<JobState*> order_;
+  std::size_t orderBegin_ = 0; ///< No job before this position waits.
+  Instant orderedAt_{};
+  std::uint64_t orderedJobs_ = 0;
+  std::size_t unorderedJobs_ = 0; ///< Added since the last order.
+  std::size_t waitingPieces_ = 0; ///< Of all jobs.
+  bool hasHeldJobs_ = false;      ///< Some may not be sent as others are.
   std::uint64_t lastNumber_ = 0;
   std::optional<Instant> wakeAt_;
   std::uint64_t idleFreeMemory_ = 0; ///< Total of all idle replicas.
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -414,13 +414,12 @@
 
 bool PieceService::AdmitJobs(const std::string& aService, BatchQueue& aQueue)
 {
+  if (!crashes_.HasVerdicts()) {
+    aQueue.AdmitAll();
+    return false;
+  }
   bool mustWait = false;
-  const bool hasVerdicts = crashes_.HasVerdicts();
   for (const PieceJobId& id : aQueue.WaitingJobs()) {
-    if (!hasVerdicts) {
-      aQueue.Admit(id, PieceAdmission::Shared);
-      continue;
-    }
     const TraitDecision decision =
       crashes_.DecidePieces(aQueue.Find(id)->request, aService);
     if (decision.step == TraitStep::Refuse) {
