--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -386,8 +386,7 @@
   // Time for the last messages to peers.
   timer.expires_after(kDrainPollInterval);
   boost::system::error_code ignored;
-  co_await timer.async_wait(
-    asio::redirect_error(asio::use_awaitable, ignored));
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   loop_.stop();
 }
 
