--- /dev/null
+++ b/core/gateway/queue_ownership.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace gypsum {
+
+/** A gateway that may own a duty of the fleet, such as a stage queue. */
+struct OwnerCandidate
+{
+  std::string address;
+  double processorShare = 1.0;
+};
+
+/**
+ * The candidate that owns a duty, by weighted rendezvous hashing: gateways with
+ * the same view of the fleet choose the same one, and a duty moves only if its
+ * owner goes or a better one comes. Larger machines are preferred. Empty if
+ * there is no candidate.
+ */
+std::string_view ChooseOwner(std::uint64_t aKey,
+                             std::span<const OwnerCandidate> aCandidates);
+
+} // namespace gypsum
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -350,7 +350,7 @@
                      "stopping",
                      { { "busy", clientListener_.BusyCount() },
                        { "connections", clientListener_.Connections() } });
-    peers_.SendStatusNow();
+    peers_.AnnounceStop();
     origins_.HandOver();
     pieces_.HandOver(BatchQueue::Leaving::NotBegun);
     asio::co_spawn(loop_, Drain(), asio::detached);
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/peer_exchange.h"
 
+#include "core/gateway/queue_ownership.h"
 #include "core/hash.h"
 #include "drivers/clock.h"
 #include "kernel/kernel.h"
@@ -12,7 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace gypsum {
@@ -26,6 +26,8 @@
 constexpr Duration kCandidateTimeout = std::chrono::seconds(10);
 /** How long a peer that does not answer this gateway owns nothing. */
 constexpr Duration kUnreachableTime = std::chrono::seconds(2);
+/** How long an owner is kept: the choice looks at each peer. */
+constexpr Duration kOwnerCacheTime = std::chrono::milliseconds(50);
 /** How long a peer must have been live before it may own queues. */
 constexpr Duration kMinOwnerUptime = std::chrono::milliseconds(600);
 
@@ -34,20 +36,6 @@
   return std::string(aAddress.substr(0, aAddress.rfind(':')));
 }
 
-/** Weighted rendezvous hashing that prefers larger machines: a queue of a large
- * fleet takes a tenth of a core, which the smallest machines lack. */
-double OwnershipScore(std::uint64_t aKey,
-                      std::string_view aAddress,
-                      double aProcessorShare)
-{
-  constexpr double kScale = 18'446'744'073'709'551'616.0; // 2^64
-  const double unit =
-    (static_cast<double>(RendezvousWeight(aKey, aAddress)) + 1.0) / kScale;
-  constexpr double kShareExponent = 3.0;
-  return -std::pow(std::max(0.01, aProcessorShare), kShareExponent) /
-         std::log(std::min(unit, 0.999'999));
-}
-
 } // namespace
 
 PeerExchange::PeerExchange(GatewayState& aState, PlatformState& aPlatformState)
@@ -167,8 +155,8 @@
   if (live.size() > kPeersPerRound) {
     live.resize(kPeersPerRound);
     for (const auto& [service, owner] : owners_) {
-      if (!owner.empty()) {
-        live.push_back(owner);
+      if (!owner.address.empty()) {
+        live.push_back(owner.address);
       }
     }
   }
@@ -219,6 +207,7 @@
   const auto found = peers_.find(aAddress);
   if (found != peers_.end() && found->second.id.incarnation == aIncarnation) {
     sightings_.OnLeaving(PeerSightings::IdOf(aIncarnation), Now().steady);
+    ForgetOwners();
   }
 }
 
@@ -229,6 +218,7 @@
     return;
   }
   found->second.unreachableUntil = Now().steady + kUnreachableTime;
+  ForgetOwners();
   state_.log.Write(
     LogClass::StateChange,
     "peer-unreachable",
@@ -255,6 +245,12 @@
   }
 }
 
+void PeerExchange::AnnounceStop()
+{
+  ForgetOwners();
+  SendStatusNow();
+}
+
 void PeerExchange::SendStatusNow()
 {
   const GatewayStatus status = OwnStatus();
@@ -390,9 +386,12 @@
 
 std::string PeerExchange::QueueOwnerOf(std::string_view aService) const
 {
-  std::string owner = OwnerOf(Checksum(aService));
-  owners_[std::string(aService)] = owner;
-  return owner;
+  const Instant now = Now().steady;
+  CachedOwner& cached = owners_[std::string(aService)];
+  if (now >= cached.until) {
+    cached = { OwnerOf(Checksum(aService)), now + kOwnerCacheTime };
+  }
+  return cached.address;
 }
 
 std::string PeerExchange::QueueOwnerWithout(std::string_view aService,
@@ -410,25 +409,28 @@
                                   std::string_view aExcluded) const
 {
   const Instant now = Now().steady;
-  std::string owner;
-  double best = state_.IsStopping()
-                  ? -1.0
-                  : OwnershipScore(aKey,
-                                   state_.settings.peerAddress,
-                                   state_.settings.processorShare);
+  std::vector<OwnerCandidate> candidates;
+  if (!state_.IsStopping()) {
+    candidates.push_back(
+      { state_.settings.peerAddress, state_.settings.processorShare });
+  }
   for (const auto& [address, peer] : peers_) {
-    if (!IsLive(peer, now) || IsLeaving(peer) || address == aExcluded ||
-        now < peer.unreachableUntil || now - peer.liveSince < kMinOwnerUptime) {
-      continue;
-    }
-    const double score =
-      OwnershipScore(aKey, address, peer.status.processorShare);
-    if (score > best) {
-      best = score;
-      owner = address;
+    const bool mayOwn = IsLive(peer, now) && !IsLeaving(peer) &&
+                        address != aExcluded && now >= peer.unreachableUntil &&
+                        now - peer.liveSince >= kMinOwnerUptime;
+    if (mayOwn) {
+      candidates.push_back({ address, peer.status.processorShare });
     }
   }
-  return owner;
+  const std::string_view owner = ChooseOwner(aKey, candidates);
+  return owner == state_.settings.peerAddress ? "" : std::string(owner);
+}
+
+void PeerExchange::ForgetOwners()
+{
+  for (auto& [service, owner] : owners_) {
+    owner.until = {};
+  }
 }
 
 bool PeerExchange::IsLive(const std::string& aAddress,
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -134,9 +134,10 @@
   void OnPeerStopping(const std::string& aAddress, Incarnation aIncarnation);
   /** A response of a backend server says that it leaves. */
   void OnLeavingResponse(const BackendRecord& aBackend);
-  /** Sends the status without waiting for the next round, for example before a
-   * stop. */
+  /** Sends the status without waiting for the next round. */
   void SendStatusNow();
+  /** This gateway has begun to stop and owns nothing any more. */
+  void AnnounceStop();
 
 private:
   struct Peer
@@ -149,6 +150,13 @@
     Instant unreachableUntil{};
   };
 
+  /** Of a queue, by its service. */
+  struct CachedOwner
+  {
+    std::string address; ///< Empty if it is this gateway.
+    Instant until{};
+  };
+
   boost::asio::awaitable<void> RoundLoop();
   void Receive(Route aRoute, PeerMessage aMessage);
   void OnStatus(const PeerHeader& aHeader, GatewayStatus aStatus);
@@ -158,6 +166,8 @@
   bool IsLive(const Peer& aPeer, Instant aNow) const;
   bool IsLeaving(const Peer& aPeer) const;
   std::string OwnerOf(std::uint64_t aKey, std::string_view aExcluded) const;
+  /** What is known of peers has changed, so that owners are chosen anew. */
+  void ForgetOwners();
   /** Brings up to date what is kept for long of each peer, and forgets those
    * that are gone. */
   void UpdatePeers(Instant aNow);
@@ -180,7 +190,7 @@
   PeerSightings sightings_;
   /** Expiry of each address from which nothing has been received. */
   std::map<std::string, Instant, std::less<>> candidates_;
-  mutable std::map<std::string, std::string, std::less<>> owners_;
+  mutable std::map<std::string, CachedOwner, std::less<>> owners_;
   std::minstd_rand random_;
   Instant startedAt_{};
 };
