--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -109,6 +109,40 @@
   CHECK(std::get<GatewayStatus>(copy->body).leaving == status.leaving);
 }
 
+TEST_CASE("[PeerCodec] sightings keep their peer, round and flag, and the age "
+          "to a thirtieth of a second")
+{
+  const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
+  const Duration age = std::chrono::milliseconds(1'500);
+  GatewayStatus status;
+  status.sightings = { { 0xfedcba98U, 255, Duration{}, false },
+                       { 1U, 0, age, true },
+                       { 2U, 7, std::chrono::hours(1), false } };
+  const auto copy = Decode(Encode({ header, status }));
+  REQUIRE(copy);
+  const auto& sightings = std::get<GatewayStatus>(copy->body).sightings;
+  REQUIRE(sightings.size() == 3);
+  CHECK(sightings[0] == status.sightings[0]);
+  CHECK(sightings[1].peer == 1U);
+  CHECK(sightings[1].isLeaving);
+  CHECK(sightings[1].age <= age);
+  CHECK(sightings[1].age > age - std::chrono::milliseconds(33));
+  CHECK(sightings[2].age <= PeerSightings::kMaxAge);
+}
+
+TEST_CASE("[PeerCodec] a job is accepted with the wait of the next one")
+{
+  const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
+  const auto copy = Decode(Encode(
+    { header, PieceAccepted{ { 5, 6 }, { "cards", 2, Duration(70'000) } } }));
+  REQUIRE(copy);
+  const auto& accepted = std::get<PieceAccepted>(copy->body);
+  CHECK(accepted.id == PieceJobId{ 5, 6 });
+  CHECK(accepted.wait.service == "cards");
+  CHECK(accepted.wait.priority == 2);
+  CHECK(accepted.wait.wait == Duration(70'000));
+}
+
 TEST_CASE("[PeerCodec] the origins of streams are transferred unchanged")
 {
   const ExpiringOrigin origin{ { "a1", "model", "v1.2" }, Duration(9'000) };
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -571,4 +571,51 @@
   CHECK(ended.front().failure == PieceFailure::Error);
 }
 
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] a queue that is handed over gives back the "
+                  "jobs that have not begun, then the rest")
+{
+  for (std::uint64_t number = 1; number <= 5; ++number) {
+    queue.Add(Job(number, 8));
+  }
+  const auto running = TakeAll();
+  REQUIRE(running.size() == 3);
+  queue.HandOver(BatchQueue::Leaving::NotBegun);
+  auto ended = queue.TakeEnded();
+  CHECK(ended.size() == 2);
+  CHECK(queue.WaitingPieces() == 0);
+  queue.OnEnd(
+    running[0], BatchEnd::Answered, SuccessfulResults(running[0]), now);
+  ended = queue.TakeEnded();
+  REQUIRE(ended.size() == 1);
+  CHECK(ended.front().failure == PieceFailure::None);
+  queue.HandOver(BatchQueue::Leaving::All);
+  ended = queue.TakeEnded();
+  CHECK(ended.size() == 2);
+  CHECK(std::ranges::all_of(ended, [](const PieceJobEnd& aEnd) {
+    return aEnd.failure == PieceFailure::Moved;
+  }));
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] a job that joins a long queue is in order "
+                  "within the time for which an order is kept")
+{
+  for (std::uint64_t number = 1; number <= 100; ++number) {
+    PieceJob job = Job(number, 1);
+    job.priority = 1;
+    job.deadline = now + seconds(60);
+    queue.Add(std::move(job));
+  }
+  const auto running = TakeAll();
+  queue.Add(Job(500, 1));
+  now += milliseconds(10);
+  for (const Batch& batch : running) {
+    queue.OnEnd(batch, BatchEnd::Answered, SuccessfulResults(batch), now);
+  }
+  const auto next = TakeAll();
+  REQUIRE_FALSE(next.empty());
+  CHECK(next.front().items.front().job.number == 500);
+}
+
 } // namespace gypsum::tests
