--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -143,19 +143,18 @@
       : silentOwners.size() < kMaxSilentOwners
         ? peers_.QueueOwnerWithout(aService, silentOwners.back())
         : "";
-    PieceJobEnd end = co_await ComputeAt(owner, aService, aJob, aCancellation);
-    if (end.failure != PieceFailure::Moved) {
-      state_.metrics.RecordStageWait(aService, Now().steady - begin);
-      co_return end;
-    }
-    if (!end.id.requester) {
+    auto end = co_await ComputeAt(owner, aService, aJob, aCancellation);
+    if (!end) {
       silentOwners.push_back(owner);
+    } else if (end->failure != PieceFailure::Moved) {
+      state_.metrics.RecordStageWait(aService, Now().steady - begin);
+      co_return std::move(*end);
     }
   }
   co_return PieceJobEnd{ aJob.id, PieceFailure::Late, {} };
 }
 
-asio::awaitable<PieceJobEnd> PieceService::ComputeAt(
+asio::awaitable<std::optional<PieceJobEnd>> PieceService::ComputeAt(
   std::string aOwner,
   const std::string& aService,
   PieceJob aJob,
@@ -241,7 +240,7 @@
                      { "owner", aOwner },
                      { "waited", Now().steady - begin },
                      { "accepted", pending->isAccepted ? 1U : 0U } });
-  co_return PieceJobEnd{ {}, PieceFailure::Moved, {} };
+  co_return std::nullopt;
 }
 
 void PieceService::HandOver(BatchQueue::Leaving aLeaving)
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -16,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -96,9 +97,9 @@
   /** Expected wait in the local queue; zero if there is none. */
   Duration ExpectedLocalWait(std::string_view aService,
                              std::uint32_t aPriority) const;
-  /** Computes the pieces at one owner; empty for this gateway. The job has
-   * moved, with an empty id, if the owner does not answer. */
-  boost::asio::awaitable<PieceJobEnd> ComputeAt(
+  /** Computes the pieces at one owner; an empty one is this gateway. The result
+   * is empty if the owner does not answer. */
+  boost::asio::awaitable<std::optional<PieceJobEnd>> ComputeAt(
     std::string aOwner,
     const std::string& aService,
     PieceJob aJob,
