--- a/tests/cell/test_planned_stop.cpp
+++ b/tests/cell/test_planned_stop.cpp
@@ -112,10 +112,9 @@
                            : 0;
       }
     };
-    std::vector<std::future<void>> clients;
-    for (int index = 0; index < kClients; ++index) {
-      clients.push_back(std::async(std::launch::async, client));
-    }
+    std::vector<std::future<void>> clients(kClients);
+    std::ranges::generate(
+      clients, [&] { return std::async(std::launch::async, client); });
     std::this_thread::sleep_for(milliseconds(500));
     StopGateway();
     for (auto& running : clients) {
