Play requests that wait in their stages over a whole planned stop

Cause: the clients of the cell left a stream after 2 s, so that no request waited until the end of the grace period. Change: the target of routes is part of the cell's configuration; no client of these tests leaves within the grace period.

--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -40,17 +40,11 @@
                    int aTimeoutMs,
                    int aMaxAttempts)
 {
-  return { { "name", "r" + aPrefix },
-           { "host", "cell.example" },
-           { "prefix", aPrefix },
-           { "kind", aKind },
-           { "timeout-ms", aTimeoutMs },
-           { "target-latency-ms", 400 },
-           { "priority", 1 },
-           { "service", aService },
-           { "max-attempts", aMaxAttempts },
-           { "gap-target-ms", 200 },
-           { "public", false } };
+  return { { "name", "r" + aPrefix },    { "host", "cell.example" },
+           { "prefix", aPrefix },        { "kind", aKind },
+           { "timeout-ms", aTimeoutMs }, { "priority", 1 },
+           { "service", aService },      { "max-attempts", aMaxAttempts },
+           { "gap-target-ms", 200 },     { "public", false } };
 }
 
 json::object Service(const std::string& aName)
@@ -194,6 +188,9 @@
   for (const std::string& prefix : configuration.extraRoutes) {
     routes.push_back(Route(prefix, "idempotent", "plain", timeout, 2));
   }
+  for (json::value& route : routes) {
+    route.as_object()["target-latency-ms"] = configuration.targetMs;
+  }
   json::object cards = Service("cards");
   cards["pieces"] = json::object{ { "slots", 1 },     { "queue", 2 },
                                   { "batch", 8 },     { "call-ms", 30.0 },
--- a/tests/cell/test_planned_stop.cpp
+++ b/tests/cell/test_planned_stop.cpp
@@ -35,6 +35,8 @@
   PlannedStopFixture()
   {
     cell.configuration.timeoutMs = static_cast<int>(kLongDeadline.count());
+    // No client leaves within the grace period.
+    cell.configuration.targetMs = 3'000;
     cell.Publish();
     REQUIRE(cell.Start());
   }
