Hold jobs back that must wait also within a kept order

Cause: a long queue keeps its order for 10 ms, and only a new order left out jobs that have to wait for their turn: a piece that may crash servers could be sent beside the one that tries it. Change: each look at the order passes over held jobs.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -339,15 +339,18 @@
   unorderedJobs_ = 0;
 }
 
+bool BatchQueue::MayBeSent(const JobState* aState)
+{
+  return aState && !aState->waiting.empty() &&
+         aState->admission != PieceAdmission::Wait;
+}
+
 std::span<BatchQueue::JobState* const> BatchQueue::WaitingOrder()
 {
-  const auto waits = [](const JobState* aState) {
-    return aState && !aState->waiting.empty();
-  };
   const auto first =
     std::find_if(order_.begin() + static_cast<std::ptrdiff_t>(orderBegin_),
                  order_.end(),
-                 waits);
+                 MayBeSent);
   orderBegin_ = static_cast<std::size_t>(first - order_.begin());
   return std::span(order_).subspan(orderBegin_);
 }
@@ -399,7 +402,7 @@
     if (remaining == 0 || (!items.empty() && items.size() >= share)) {
       break;
     }
-    if (!state || state->waiting.empty()) {
+    if (!MayBeSent(state)) {
       continue;
     }
     const bool isOtherZone = !items.empty() && !isBacklog &&
@@ -561,8 +564,8 @@
     std::ranges::count(candidates, true, &Candidate::isFree));
   bool isMemoryReserved = false;
   for (std::size_t first = 0; idle > 0 && first < ordered.size(); ++first) {
-    const bool isWaiting = ordered[first] && !ordered[first]->waiting.empty();
-    if (!isWaiting || (isMemoryReserved && IsLarge(*ordered[first]))) {
+    if (!MayBeSent(ordered[first]) ||
+        (isMemoryReserved && IsLarge(*ordered[first]))) {
       continue;
     }
     const Candidate* const best =
--- a/core/gateway/batch_queue.h
+++ b/core/gateway/batch_queue.h
@@ -234,7 +234,9 @@
   /** Orders the waiting jobs; fails those that the work before them makes
    * miss their deadlines. */
   void Reorder(std::span<const Candidate> aCandidates, Instant aNow);
-  /** Jobs of the order from the first on that still waits. */
+  /** Whether a job of the order still waits, and has not been held since. */
+  static bool MayBeSent(const JobState* aState);
+  /** Jobs of the order from the first on that may be sent. */
   std::span<JobState* const> WaitingOrder();
   void Erase(PieceJobId aId);
   const Candidate* BestCandidateFor(const JobState& aState,
@@ -279,7 +281,7 @@
   std::deque<std::pair<Instant, std::string>> expiries_;
   /** Jobs as last ordered; null for those that have ended since. */
   std::vector<JobState*> order_;
-  std::size_t orderBegin_ = 0; ///< No job before this position waits.
+  std::size_t orderBegin_ = 0; ///< No job before it may be sent.
   Instant orderedAt_{};
   std::uint64_t orderedJobs_ = 0;
   std::size_t unorderedJobs_ = 0; ///< Added since the last order.
--- a/tests/gateway/test_batch_queue.cpp
+++ b/tests/gateway/test_batch_queue.cpp
@@ -618,4 +618,26 @@
   CHECK(next.front().items.front().job.number == 500);
 }
 
+TEST_CASE_FIXTURE(QueueFixture,
+                  "[BatchQueue] a job of a long queue that has to wait from "
+                  "now on is not sent in the order kept from before")
+{
+  for (std::uint64_t number = 1; number <= 100; ++number) {
+    PieceJob job = Job(number, 1);
+    job.deadline = now + seconds(60);
+    queue.Add(std::move(job));
+  }
+  const auto running = TakeAll();
+  const PieceJobId held = queue.WaitingJobs().front();
+  queue.Admit(held, PieceAdmission::Wait);
+  now += milliseconds(1);
+  for (const Batch& batch : running) {
+    queue.OnEnd(batch, BatchEnd::Answered, SuccessfulResults(batch), now);
+  }
+  for (const Batch& batch : TakeAll()) {
+    CHECK(std::ranges::none_of(
+      batch.items, [&](const BatchItem& aItem) { return aItem.job == held; }));
+  }
+}
+
 } // namespace gypsum::tests
