--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -24,7 +24,7 @@
 /** How long an address that has sent nothing stays a target, and how long a
  * silent peer is kept. */
 constexpr Duration kCandidateTimeout = std::chrono::seconds(10);
-/** How long a peer that does not answer this gateway owns nothing. */
+/** How long a peer that does not answer this gateway owns no queue. */
 constexpr Duration kUnreachableTime = std::chrono::seconds(2);
 /** How long an owner is kept: the choice looks at each peer. */
 constexpr Duration kOwnerCacheTime = std::chrono::milliseconds(50);
@@ -389,7 +389,8 @@
   const Instant now = Now().steady;
   CachedOwner& cached = owners_[std::string(aService)];
   if (now >= cached.until) {
-    cached = { OwnerOf(Checksum(aService)), now + kOwnerCacheTime };
+    cached = { OwnerOf(Checksum(aService), "", UnreachablePeers::Exclude),
+               now + kOwnerCacheTime };
   }
   return cached.address;
 }
@@ -397,16 +398,17 @@
 std::string PeerExchange::QueueOwnerWithout(std::string_view aService,
                                             std::string_view aPeer) const
 {
-  return OwnerOf(Checksum(aService), aPeer);
+  return OwnerOf(Checksum(aService), aPeer, UnreachablePeers::Exclude);
 }
 
 std::string PeerExchange::OwnerOf(std::uint64_t aKey) const
 {
-  return OwnerOf(aKey, "");
+  return OwnerOf(aKey, "", UnreachablePeers::Include);
 }
 
 std::string PeerExchange::OwnerOf(std::uint64_t aKey,
-                                  std::string_view aExcluded) const
+                                  std::string_view aExcluded,
+                                  UnreachablePeers aUnreachable) const
 {
   const Instant now = Now().steady;
   std::vector<OwnerCandidate> candidates;
@@ -415,8 +417,10 @@
       { state_.settings.peerAddress, state_.settings.processorShare });
   }
   for (const auto& [address, peer] : peers_) {
-    const bool mayOwn = IsLive(peer, now) && !IsLeaving(peer) &&
-                        address != aExcluded && now >= peer.unreachableUntil &&
+    const bool isReachable =
+      aUnreachable == UnreachablePeers::Include || now >= peer.unreachableUntil;
+    const bool mayOwn = IsLive(peer, now) && !IsLeaving(peer) && isReachable &&
+                        address != aExcluded &&
                         now - peer.liveSince >= kMinOwnerUptime;
     if (mayOwn) {
       candidates.push_back({ address, peer.status.processorShare });
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -20,6 +20,13 @@
 
 namespace gypsum {
 
+/** Whether peers that do not answer this gateway may own a duty. */
+enum class UnreachablePeers
+{
+  Include, ///< Two owners at a time would do harm.
+  Exclude, ///< A second owner costs work only.
+};
+
 /** Whether a list of peers has those that are stopping. */
 enum class LeavingPeers
 {
@@ -126,7 +133,7 @@
   /** Notifies peers of a long prompt, so that they avoid its backend server. */
   void NotifyPromptSent(const PromptSent& aPrompt);
   /** A peer has not answered what was sent to it since then. If nothing else
-   * of it has arrived, it owns nothing for a while. */
+   * of it has arrived, it owns no queue for a while. */
   void OnNoAnswer(const std::string& aAddress, Instant aSince);
   /** A peer has told the wait in a queue that it owns. */
   void OnQueueWait(const std::string& aAddress, const ServiceWait& aWait);
@@ -165,7 +172,9 @@
                               const GatewayStatus& aStatus);
   bool IsLive(const Peer& aPeer, Instant aNow) const;
   bool IsLeaving(const Peer& aPeer) const;
-  std::string OwnerOf(std::uint64_t aKey, std::string_view aExcluded) const;
+  std::string OwnerOf(std::uint64_t aKey,
+                      std::string_view aExcluded,
+                      UnreachablePeers aUnreachable) const;
   /** What is known of peers has changed, so that owners are chosen anew. */
   void ForgetOwners();
   /** Brings up to date what is kept for long of each peer, and forgets those
