Take rounds of a peer as new after a long time without any

Cause: numbers of rounds wrap after 64 s; a peer of which only other messages arrived for 32 s looked older with each round until the number came round.

--- a/core/gateway/peer_sightings.cpp
+++ b/core/gateway/peer_sightings.cpp
@@ -35,7 +35,8 @@
     // The age of a round that is told again lacks the time on the way: taken
     // over, a peer that is gone would look alive for as long as others speak.
     const auto ahead = static_cast<std::int8_t>(sighting.round - seen.round);
-    const bool isNewer = ahead > 0 || seen.roundAt == Instant{};
+    // Numbers that are too far apart can't be compared.
+    const bool isNewer = ahead > 0 || aNow - seen.roundAt >= kMaxAge;
     if (isNewer) {
       seen.round = sighting.round;
       seen.roundAt = aNow - std::max(Duration{}, sighting.age);
--- a/tests/gateway/test_peer_sightings.cpp
+++ b/tests/gateway/test_peer_sightings.cpp
@@ -248,6 +248,23 @@
   }
 }
 
+TEST_CASE("[PeerSightings] rounds that come after a long time are new however "
+          "far their number has gone")
+{
+  Instant now{ seconds(100) };
+  PeerSightings peer(7);
+  PeerSightings other(1);
+  other.OnReport(peer.Report(now, false), now);
+  for (int round = 0; round < 200; ++round) {
+    now += kStatusInterval;
+    peer.BeginRound();
+    other.OnHeard(7, now - kStatusInterval);
+    other.Expire(now);
+  }
+  other.OnReport(peer.Report(now, false), now);
+  CHECK(*other.LastAliveAt(7) == now);
+}
+
 TEST_CASE("[PeerSightings] an older report does not undo a newer one, nor that "
           "a peer leaves")
 {
