Show that a late copy of a stage response mixes up requests

Cause: a call for pieces takes whatever response comes first on a reused connection; nothing ties a response to its call.

Change: a case with stage servers that send some responses twice, under review/; the software is unchanged.

--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -25,6 +25,9 @@
     if (name == "planned-stops") {
       return review::RunPlannedStops(world, hasTrouble);
     }
+    if (name == "late-copies") {
+      return review::RunLateCopies(world, hasTrouble);
+    }
     std::fprintf(stderr, "no such case: %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
