Show that an order of stages keeps a whole version out of force

Cause: the decoder rejects a configuration in which a stage names a later one as its input, although only numbers are defined for stages.

Change: a case with a route and a key that change in the same version, under review/. The plain replicas move to a file of their own. The software is unchanged.

--- a/review/stand_ins/late_copies.cpp
+++ b/review/stand_ins/late_copies.cpp
@@ -1,4 +1,4 @@
-#include "review/stand_ins/world.h"
+#include "review/stand_ins/plain_replica.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -419,9 +419,6 @@
     { "engine",
       json::object{ { "slots", 64 }, { "kv-capacity-tokens", 631'045 } } }
   };
-  const json::object tenant{ { "name", "tenant-one" },
-                             { "api-keys", json::array{ "key-one" } },
-                             { "priority", 1 } };
   aWorld.TheStore().Put(
     "op/config",
     json::serialize(json::object{
@@ -431,12 +428,8 @@
         json::array{ engine,
                      StageService("portfolios", 8, 16.0, 36.0),
                      StageService("facturation", 16, 8.0, 2.7) } },
-      { "limits",
-        json::object{ { "max-header-bytes", 16'384 },
-                      { "max-body-bytes", 1'000'000 },
-                      { "header-timeout-ms", 2'000 },
-                      { "idle-timeout-ms", 10'000 } } },
-      { "tenants", json::array{ tenant } } }));
+      { "limits", MakeLimits() },
+      { "tenants", json::array{ MakeTenant("tenant-one", "key-one") } } }));
 }
 
 void Call(World& aWorld, unsigned aNumber, const std::atomic<bool>& aIsStopping)
--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -28,6 +28,9 @@
     if (name == "late-copies") {
       return review::RunLateCopies(world, hasTrouble);
     }
+    if (name == "stage-order") {
+      return review::RunStageOrder(world, hasTrouble);
+    }
     std::fprintf(stderr, "no such case: %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
--- a/review/stand_ins/planned_stops.cpp
+++ b/review/stand_ins/planned_stops.cpp
@@ -1,4 +1,4 @@
-#include "review/stand_ins/world.h"
+#include "review/stand_ins/plain_replica.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -20,9 +20,6 @@
 constexpr Milliseconds kPlannedAfterGrace{ 1'000 };
 constexpr Milliseconds kStreamDeadline{ 8'000 };
 constexpr Milliseconds kHoldDeadline{ 1'500 };
-constexpr int kStreamEvents = 24;
-constexpr Milliseconds kEventInterval{ 60 };
-constexpr Milliseconds kHoldTime{ 60 };
 constexpr int kStreamClients = 12;
 constexpr int kHoldClients = 6;
 constexpr int kRounds = 2;
@@ -30,90 +27,6 @@
 constexpr Milliseconds kCalmTime{ 4'000 };
 constexpr int kExtraRepeats = 58;
 
-/** A replica that streams events, or runs what may not be repeated. */
-class PlainReplica
-{
-public:
-  PlainReplica(World& aWorld,
-               int aMachine,
-               const std::string& aId,
-               const std::string& aService,
-               bool aStreams)
-    : world_(aWorld)
-    , id_(aId)
-    , streams_(aStreams)
-    , server_(aWorld.Host(aMachine),
-              aWorld.ThePorts().replicas,
-              [this](Connection& aConnection) { Serve(aConnection); })
-    , registration_(aWorld.TheStore(),
-                    aId,
-                    aService,
-                    aWorld.Host(aMachine) + ":" +
-                      std::to_string(aWorld.ThePorts().replicas),
-                    64)
-  {
-  }
-
-private:
-  void Serve(Connection& aConnection)
-  {
-    Message request;
-    while (aConnection.Read(request, Clock::now() + Milliseconds(5'000)) ==
-           ReadEnd::Complete) {
-      const std::string attempt = request.Get("Attempt-Id");
-      Headers headers{ { "Attempt-Id", attempt },
-                       { "Replica-Load", "1,0,64" } };
-      if (attempt.empty()) {
-        if (!aConnection.Write(Format("HTTP/1.1 200 OK", headers, "{}"))) {
-          return;
-        }
-        continue;
-      }
-      if (request.Get("Expect-Replica") != id_) {
-        headers["Not-Executed"] = "1";
-        if (!aConnection.Write(
-              Format("HTTP/1.1 421 Misdirected", headers, ""))) {
-          return;
-        }
-        continue;
-      }
-      headers["Replica-Seal"] = id_ + "." + attempt;
-      headers["Keep-Alive"] = "timeout=5";
-      world_.TheRuns().OnBegin(attempt, { id_, world_.Log().Now() });
-      const bool isWritten =
-        streams_ ? Stream(aConnection, headers) : RunHold(aConnection, headers);
-      world_.TheRuns().OnEnd(attempt, world_.Log().Now(), isWritten);
-      if (!isWritten) {
-        return;
-      }
-    }
-  }
-
-  static bool Stream(Connection& aConnection, const Headers& aHeaders)
-  {
-    bool isOpen = aConnection.Write(FormatStreamHead(aHeaders));
-    for (int event = 1; isOpen && event <= kStreamEvents; ++event) {
-      std::this_thread::sleep_for(kEventInterval);
-      isOpen = !aConnection.HasEnded() &&
-               aConnection.Write(
-                 Chunk("id: " + std::to_string(event) + "\ndata: piece\n\n"));
-    }
-    return isOpen && aConnection.Write(kLastChunk);
-  }
-
-  static bool RunHold(Connection& aConnection, const Headers& aHeaders)
-  {
-    std::this_thread::sleep_for(kHoldTime);
-    return aConnection.Write(Format("HTTP/1.1 200 OK", aHeaders, "held"));
-  }
-
-  World& world_;
-  std::string id_;
-  bool streams_;
-  Server server_;
-  Registration registration_;
-};
-
 /** A planned stop of one gateway. */
 struct Stop
 {
@@ -183,47 +96,23 @@
   std::thread thread_;
 };
 
-json::object Route(const std::string& aPrefix,
-                   const std::string& aKind,
-                   const std::string& aService,
-                   Milliseconds aTimeout)
-{
-  return { { "name", "r" + aPrefix },
-           { "host", "desk.example" },
-           { "prefix", aPrefix },
-           { "kind", aKind },
-           { "timeout-ms", aTimeout.count() },
-           { "target-latency-ms", 1'000 },
-           { "gap-target-ms", 300 },
-           { "priority", 1 },
-           { "service", aService },
-           { "max-attempts", 1 },
-           { "public", false } };
-}
-
 void PutConfiguration(World& aWorld)
 {
-  const json::object tenant{ { "name", "tenant-one" },
-                             { "api-keys", json::array{ "key-one" } },
-                             { "priority", 1 } };
   aWorld.TheStore().Put(
     "op/config",
     json::serialize(json::object{
       { "version", 1 },
       { "routes",
         json::array{
-          Route("/digest/", "streaming", "redaction", kStreamDeadline),
-          Route("/hold/", "non_idempotent", "reservations", kHoldDeadline) } },
+          MakeRoute("/digest/", "streaming", "redaction", kStreamDeadline),
+          MakeRoute(
+            "/hold/", "non_idempotent", "reservations", kHoldDeadline) } },
       { "services",
         json::array{
           json::object{ { "name", "redaction" }, { "max-conns", 370 } },
           json::object{ { "name", "reservations" }, { "max-conns", 370 } } } },
-      { "limits",
-        json::object{ { "max-header-bytes", 16'384 },
-                      { "max-body-bytes", 1'000'000 },
-                      { "header-timeout-ms", 2'000 },
-                      { "idle-timeout-ms", 10'000 } } },
-      { "tenants", json::array{ tenant } } }));
+      { "limits", MakeLimits() },
+      { "tenants", json::array{ MakeTenant("tenant-one", "key-one") } } }));
 }
 
 /** Clients that send one request after the other. */
@@ -272,16 +161,11 @@
     std::string host = rotation_.Choose(aNumber);
     for (unsigned sent = aNumber; !isStopping_; ++sent) {
       const std::string attempt = NextAttempt();
-      const Outcome outcome = client.Send(
-        host,
-        world_.ThePorts().clients,
-        Format("POST " + aPath + " HTTP/1.1",
-               { { "Host", "desk.example" },
-                 { "Attempt-Id", attempt },
-                 { "Credential", "key-one" },
-                 { "Deadline-Ms", std::to_string(aDeadline.count()) } },
-               "{}"),
-        aDeadline);
+      const Outcome outcome =
+        client.Send(host,
+                    world_.ThePorts().clients,
+                    MakeRequest(aPath, attempt, "key-one", aDeadline),
+                    aDeadline);
       ++attempts_;
       Judge(attempt, aPath, host, outcome);
       if (outcome.end != ReadEnd::Complete ||
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -249,5 +249,6 @@
 // The cases; each returns the exit code.
 int RunPlannedStops(World& aWorld, bool aHasTrouble);
 int RunLateCopies(World& aWorld, bool aHasTrouble);
+int RunStageOrder(World& aWorld, bool aHasTrouble);
 
 } // namespace review
