Show that taking the last tenant away opens all routes

Cause: an empty list of tenants is read as a configuration without keys.

Change: a case under review/; the software is unchanged.

--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -31,6 +31,9 @@
     if (name == "stage-order") {
       return review::RunStageOrder(world, hasTrouble);
     }
+    if (name == "last-tenant") {
+      return review::RunLastTenant(world, hasTrouble);
+    }
     std::fprintf(stderr, "no such case: %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -250,5 +250,6 @@
 int RunPlannedStops(World& aWorld, bool aHasTrouble);
 int RunLateCopies(World& aWorld, bool aHasTrouble);
 int RunStageOrder(World& aWorld, bool aHasTrouble);
+int RunLastTenant(World& aWorld, bool aHasTrouble);
 
 } // namespace review
