Show that a failure of a server is passed on as a promise

Cause: a 503 of a server that does not say that it has not run the request is forwarded as it is.

The case with the order of stages also looks at a key that is added. The software is unchanged.

--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -34,6 +34,9 @@
     if (name == "last-tenant") {
       return review::RunLastTenant(world, hasTrouble);
     }
+    if (name == "grey-replica") {
+      return review::RunGreyReplica(world, hasTrouble);
+    }
     std::fprintf(stderr, "no such case: %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
--- a/review/stand_ins/plain_replica.cpp
+++ b/review/stand_ins/plain_replica.cpp
@@ -23,6 +23,7 @@
   : world_(aWorld)
   , id_(aId)
   , streams_(aStreams)
+  , random_(static_cast<std::uint_fast32_t>(aMachine))
   , server_(aWorld.Host(aMachine),
             aWorld.ThePorts().replicas,
             [this](Connection& aConnection) { Serve(aConnection); })
@@ -82,7 +83,15 @@
 bool PlainReplica::RunHold(Connection& aConnection, const Headers& aHeaders)
 {
   std::this_thread::sleep_for(kHoldTime);
-  return aConnection.Write(Format("HTTP/1.1 200 OK", aHeaders, "held"));
+  bool isFailing = false;
+  {
+    const std::lock_guard lock(mutex_);
+    isFailing = std::bernoulli_distribution(failingShare_)(random_);
+  }
+  // It has run the request, and does not say otherwise.
+  return aConnection.Write(
+    isFailing ? Format("HTTP/1.1 503 Service Unavailable", aHeaders, "failed")
+              : Format("HTTP/1.1 200 OK", aHeaders, "held"));
 }
 
 json::object MakeRoute(const std::string& aPrefix,
--- a/review/stand_ins/plain_replica.h
+++ b/review/stand_ins/plain_replica.h
@@ -4,6 +4,9 @@
 
 #include <boost/json/object.hpp>
 
+#include <atomic>
+#include <mutex>
+#include <random>
 #include <string>
 
 namespace review {
@@ -18,14 +21,20 @@
                const std::string& aService,
                bool aStreams);
 
+  /** From now on it fails this share of its requests after it has run them. */
+  void FailAfterRun(double aShare) { failingShare_ = aShare; }
+
 private:
   void Serve(Connection& aConnection);
   static bool Stream(Connection& aConnection, const Headers& aHeaders);
-  static bool RunHold(Connection& aConnection, const Headers& aHeaders);
+  bool RunHold(Connection& aConnection, const Headers& aHeaders);
 
   World& world_;
   std::string id_;
   bool streams_;
+  std::atomic<double> failingShare_ = 0.0;
+  std::mutex mutex_;
+  std::mt19937 random_;
   Server server_;
   Registration registration_;
 };
--- a/review/stand_ins/stage_order.cpp
+++ b/review/stand_ins/stage_order.cpp
@@ -113,7 +113,7 @@
   // clients count their pieces by the numbers of the stages.
   Version next{ 5,
                 "reservations-b",
-                { "key-one" },
+                { "key-one", "key-three" },
                 { Stage("portfolios", { 2 }),
                   Stage("facturation", { 0 }),
                   Stage("portfolios", {}) } };
@@ -126,13 +126,14 @@
   Put(aWorld, next);
   const Milliseconds acknowledged = record.Now();
   record.Write("version 5 is acknowledged: /hold/ moves to reservations-b, "
-               "key-two is dropped");
+               "key-two is dropped, key-three is added");
   std::this_thread::sleep_for(kApplyTime + Milliseconds(500));
   int runs = 0;
   int stale = 0;
+  int refused = 0;
   while (record.Now() < acknowledged + kWatchTime) {
     for (const auto& gateway : aWorld.Gateways()) {
-      for (const char* const key : { "key-one", "key-two" }) {
+      for (const char* const key : { "key-one", "key-two", "key-three" }) {
         const std::string attempt = NextAttempt();
         Client client(record);
         const Outcome outcome =
@@ -153,6 +154,9 @@
               " ms after the acknowledgement");
           }
         }
+        const bool isRefused =
+          std::string(key) == "key-three" && outcome.answer.Status() == 401;
+        refused += isRefused ? 1 : 0;
         record.Write("attempt " + attempt + " with " + key + " at " +
                      gateway->Name() + ", status " +
                      std::to_string(outcome.answer.Status()));
@@ -161,8 +165,10 @@
     std::this_thread::sleep_for(Milliseconds(500));
   }
   record.Write("requests run " + std::to_string(runs) +
-               ", as only the older version allows " + std::to_string(stale));
-  return stale > 0 ? 1 : 0;
+               ", as only the older version allows " + std::to_string(stale) +
+               ", refused with 401 though the key is there " +
+               std::to_string(refused));
+  return stale + refused > 0 ? 1 : 0;
 }
 
 } // namespace review
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -251,5 +251,6 @@
 int RunLateCopies(World& aWorld, bool aHasTrouble);
 int RunStageOrder(World& aWorld, bool aHasTrouble);
 int RunLastTenant(World& aWorld, bool aHasTrouble);
+int RunGreyReplica(World& aWorld, bool aHasTrouble);
 
 } // namespace review
