--- a/review/stand_ins/grey_replica.cpp
+++ b/review/stand_ins/grey_replica.cpp
@@ -99,6 +99,7 @@
   Counts counts;
   std::atomic<bool> isStopping = false;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int index = 0; index < kClients; ++index) {
     clients.emplace_back([&, index] {
       const auto chosen = static_cast<std::size_t>(index);
--- a/review/stand_ins/late_copies.cpp
+++ b/review/stand_ins/late_copies.cpp
@@ -511,6 +511,7 @@
   std::this_thread::sleep_for(kPause);
   std::atomic<bool> isStopping = false;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (unsigned index = 0; index < kClients; ++index) {
     clients.emplace_back([&, index] { Call(aWorld, index, isStopping); });
   }
