Show that a stream is resumed at another software version

Cause: the registry lists a replica that has restarted under its id with its old version for up to 0.35 s, and a resume asks nothing else.

Change: a case under review/ takes the place of the one with the last tenant, whose stand-in stays. The software is unchanged.

--- a/review/stand_ins/world.cpp
+++ b/review/stand_ins/world.cpp
@@ -404,12 +404,14 @@
                            std::string aId,
                            std::string aService,
                            std::string aAddress,
-                           unsigned aSlots)
+                           unsigned aSlots,
+                           std::string aVersion)
   : store_(aStore)
   , id_(std::move(aId))
   , service_(std::move(aService))
   , address_(std::move(aAddress))
   , slots_(aSlots)
+  , version_(std::move(aVersion))
   , born_(UnixMs())
   , thread_([this] { Beat(); })
 {
@@ -434,7 +436,7 @@
                json::serialize(json::object{ { "service", service_ },
                                              { "address", address_ },
                                              { "zone", "zone-a" },
-                                             { "version", "v1" },
+                                             { "version", version_ },
                                              { "slots", slots_ },
                                              { "state", "ready" },
                                              { "cold-left-ms", 0 },
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -195,7 +195,8 @@
                std::string aId,
                std::string aService,
                std::string aAddress,
-               unsigned aSlots);
+               unsigned aSlots,
+               std::string aVersion = "v1");
   ~Registration();
   Registration(const Registration&) = delete;
   Registration& operator=(const Registration&) = delete;
@@ -208,6 +209,7 @@
   std::string service_;
   std::string address_;
   unsigned slots_;
+  std::string version_;
   std::int64_t born_;
   std::mutex mutex_;
   std::condition_variable stopped_;
@@ -252,5 +254,6 @@
 int RunStageOrder(World& aWorld, bool aHasTrouble);
 int RunLastTenant(World& aWorld, bool aHasTrouble);
 int RunGreyReplica(World& aWorld, bool aHasTrouble);
+int RunTwoVersions(World& aWorld, bool aHasTrouble);
 
 } // namespace review
