Show that a silent stream is cut at a planned stop

From half of the grace on, a stream that a sound replica preempts for longer than 0.7 s is aborted: the gateway stops waiting for the next event although it may not resume the stream any more.

--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -37,6 +37,9 @@
     if (name == "grey-replica") {
       return review::RunGreyReplica(world, hasTrouble);
     }
+    if (name == "silent-streams") {
+      return review::RunSilentStreams(world, hasTrouble);
+    }
     std::fprintf(stderr, "no such case: %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -254,5 +254,6 @@
 int RunStageOrder(World& aWorld, bool aHasTrouble);
 int RunLastTenant(World& aWorld, bool aHasTrouble);
 int RunGreyReplica(World& aWorld, bool aHasTrouble);
+int RunSilentStreams(World& aWorld, bool aHasTrouble);
 
 } // namespace review
