Show that a version is missed after a drill of the store

The store followers watch from a revision and never look at Store-Era. If a store that came back from a copy has given out that revision again before their first call, no gateway sees a 410, and what was written under it is missed: a key that was taken away is run, a new one gets 401.

The store stand-in gets eras, and heartbeats no longer change entries.

--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -37,6 +37,9 @@
     if (name == "grey-replica") {
       return review::RunGreyReplica(world, hasTrouble);
     }
+    if (name == "store-drill") {
+      return review::RunStoreDrill(world, hasTrouble);
+    }
     if (name == "silent-streams") {
       return review::RunSilentStreams(world, hasTrouble);
     }
--- a/review/stand_ins/world.cpp
+++ b/review/stand_ins/world.cpp
@@ -120,31 +120,79 @@
 }
 
 Store::Store(const std::string& aHost, int aPort)
-  : server_(
-      std::make_unique<Server>(aHost, aPort, [this](Connection& aConnection) {
-        Serve(aConnection);
-      }))
+  : host_(aHost)
+  , port_(aPort)
 {
+  Open();
 }
 
-void Store::Put(const std::string& aKey, const std::string& aValue)
+void Store::Open()
+{
+  server_ = std::make_unique<Server>(
+    host_, port_, [this](Connection& aConnection) { Serve(aConnection); });
+}
+
+std::uint64_t Store::Put(const std::string& aKey, const std::string& aValue)
 {
   const std::lock_guard lock(mutex_);
-  Item& item = items_[aKey];
-  ++revision_;
+  Item& item = content_.items[aKey];
+  const std::uint64_t revision = ++content_.revision;
   item = { aKey,
            EncodeBase64(aValue),
-           revision_,
-           item.created == 0 ? revision_ : item.created };
-  history_.push_back(item);
+           revision,
+           item.created == 0 ? revision : item.created };
+  content_.history.push_back(item);
   changed_.notify_all();
+  return revision;
+}
+
+void Store::Refresh(const std::string& aKey, const std::string& aValue)
+{
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = content_.items.find(aKey);
+    if (isAway_ || found != content_.items.end()) {
+      if (!isAway_) {
+        found->second.value = EncodeBase64(aValue);
+      }
+      return;
+    }
+  }
+  Put(aKey, aValue);
+}
+
+void Store::Copy()
+{
+  const std::lock_guard lock(mutex_);
+  copy_ = content_;
+}
+
+void Store::GoAway()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    isAway_ = true;
+    changed_.notify_all();
+  }
+  server_.reset();
+}
+
+void Store::ComeBackFromCopy()
+{
+  {
+    const std::lock_guard lock(mutex_);
+    content_ = copy_;
+    ++era_;
+    isAway_ = false;
+  }
+  Open();
 }
 
 std::string Store::List(const std::string& aPrefix, const std::string& aAfter)
 {
   const std::lock_guard lock(mutex_);
   json::array items;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : content_.items) {
     if (key.starts_with(aPrefix) && key > aAfter) {
       items.push_back(json::object{ { "key", item.key },
                                     { "value", item.value },
@@ -153,9 +201,10 @@
                                     { "lease", 0 } });
     }
   }
-  return json::serialize(json::object{ { "items", items },
-                                       { "more-pages", false },
-                                       { "store-revision", revision_ } });
+  return json::serialize(
+    json::object{ { "items", items },
+                  { "more-pages", false },
+                  { "store-revision", content_.revision } });
 }
 
 std::string Store::Watch(const std::string& aPrefix,
@@ -164,8 +213,11 @@
 {
   json::array events;
   std::unique_lock lock(mutex_);
+  if (aAfter > content_.revision) {
+    return "";
+  }
   changed_.wait_for(lock, aWait, [&] {
-    for (const Item& item : history_) {
+    for (const Item& item : content_.history) {
       if (item.revision > aAfter && item.key.starts_with(aPrefix)) {
         events.push_back(json::object{ { "key", item.key },
                                        { "value", item.value },
@@ -174,10 +226,10 @@
                                        { "lease", 0 } });
       }
     }
-    return !events.empty();
+    return isAway_ || !events.empty();
   });
-  return json::serialize(
-    json::object{ { "events", events }, { "store-revision", revision_ } });
+  return json::serialize(json::object{
+    { "events", events }, { "store-revision", content_.revision } });
 }
 
 void Store::Serve(Connection& aConnection)
@@ -187,6 +239,7 @@
          ReadEnd::Complete) {
     const std::string target = call.Target();
     const std::string prefix = QueryValue(target, "prefix");
+    std::string status = "HTTP/1.1 200 OK";
     std::string body;
     if (target.starts_with("/gypsumstream/kv-range")) {
       body = List(prefix, QueryValue(target, "after"));
@@ -196,11 +249,22 @@
       body = Watch(prefix,
                    std::strtoull(after.c_str(), nullptr, 10),
                    Milliseconds(std::strtoll(wait.c_str(), nullptr, 10)));
+      status = body.empty() ? "HTTP/1.1 410 Gone" : status;
+    } else {
+      status = "HTTP/1.1 404 Not Found";
+    }
+    std::string era;
+    {
+      const std::lock_guard lock(mutex_);
+      if (isAway_) {
+        return;
+      }
+      era = std::to_string(era_);
     }
-    const std::string status =
-      body.empty() ? "HTTP/1.1 404 Not Found" : "HTTP/1.1 200 OK";
-    if (!aConnection.Write(
-          Format(status, { { "Content-Type", "application/json" } }, body))) {
+    if (!aConnection.Write(Format(
+          status,
+          { { "Content-Type", "application/json" }, { "Store-Era", era } },
+          body))) {
       return;
     }
   }
@@ -432,16 +496,21 @@
   std::uint64_t seq = 0;
   std::unique_lock lock(mutex_);
   while (!isStopping_) {
-    store_.Put("servers/" + id_,
-               json::serialize(json::object{ { "service", service_ },
-                                             { "address", address_ },
-                                             { "zone", "zone-a" },
-                                             { "version", version_ },
-                                             { "slots", slots_ },
-                                             { "state", "ready" },
-                                             { "cold-left-ms", 0 },
-                                             { "seq", ++seq },
-                                             { "born", born_ } }));
+    const std::string entry =
+      json::serialize(json::object{ { "service", service_ },
+                                    { "address", address_ },
+                                    { "zone", "zone-a" },
+                                    { "version", version_ },
+                                    { "slots", slots_ },
+                                    { "state", "ready" },
+                                    { "cold-left-ms", 0 },
+                                    { "seq", ++seq },
+                                    { "born", born_ } });
+    if (seq == 1) {
+      store_.Put("servers/" + id_, entry);
+    } else {
+      store_.Refresh("servers/" + id_, entry);
+    }
     stopped_.wait_for(lock, kHeartbeat, [this] { return isStopping_; });
   }
 }
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -65,7 +65,18 @@
 public:
   Store(const std::string& aHost, int aPort);
 
-  void Put(const std::string& aKey, const std::string& aValue);
+  /** Returns the revision of the change. */
+  std::uint64_t Put(const std::string& aKey, const std::string& aValue);
+  /** Writes an entry of which only `seq` has changed: that is no change of the
+   * entry, unless the store does not have it. */
+  void Refresh(const std::string& aKey, const std::string& aValue);
+
+  /** Keeps a copy of all that it holds now. */
+  void Copy();
+  /** Ends all connections and accepts none. */
+  void GoAway();
+  /** Serves again, from the copy and in the next era. */
+  void ComeBackFromCopy();
 
 private:
   struct Item
@@ -76,17 +87,30 @@
     std::uint64_t created = 0;
   };
 
+  /** What a drill takes back. */
+  struct Content
+  {
+    std::map<std::string, Item> items;
+    std::vector<Item> history;
+    std::uint64_t revision = 100;
+  };
+
+  void Open();
   void Serve(Connection& aConnection);
   std::string List(const std::string& aPrefix, const std::string& aAfter);
+  /** Empty if it doesn't have the revision. */
   std::string Watch(const std::string& aPrefix,
                     std::uint64_t aAfter,
                     Milliseconds aWait);
 
+  std::string host_;
+  int port_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::map<std::string, Item> items_;
-  std::vector<Item> history_;
-  std::uint64_t revision_ = 100;
+  Content content_;
+  Content copy_;
+  std::uint64_t era_ = 1;
+  bool isAway_ = false;
   std::unique_ptr<Server> server_; ///< Last, so that it ends first.
 };
 
@@ -254,6 +278,7 @@
 int RunStageOrder(World& aWorld, bool aHasTrouble);
 int RunLastTenant(World& aWorld, bool aHasTrouble);
 int RunGreyReplica(World& aWorld, bool aHasTrouble);
+int RunStoreDrill(World& aWorld, bool aHasTrouble);
 int RunSilentStreams(World& aWorld, bool aHasTrouble);
 
 } // namespace review
