Show that a refusal of HEAD spoils the next answer

Failures that a gateway makes itself are written with their body also in answer to HEAD. The bytes stand before the next answer on the connection, which then can't be read.

--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -40,6 +40,9 @@
     if (name == "store-drill") {
       return review::RunStoreDrill(world, hasTrouble);
     }
+    if (name == "refused-heads") {
+      return review::RunRefusedHeads(world, hasTrouble);
+    }
     if (name == "silent-streams") {
       return review::RunSilentStreams(world, hasTrouble);
     }
--- a/review/stand_ins/plain_replica.cpp
+++ b/review/stand_ins/plain_replica.cpp
@@ -58,9 +58,10 @@
     }
     headers["Replica-Seal"] = id_ + "." + attempt;
     headers["Keep-Alive"] = "timeout=5";
+    const bool isHead = request.startLine.starts_with("HEAD ");
     world_.TheRuns().OnBegin(attempt, { id_, world_.Log().Now() });
-    const bool isWritten =
-      streams_ ? Stream(aConnection, headers) : RunHold(aConnection, headers);
+    const bool isWritten = streams_ ? Stream(aConnection, headers)
+                                    : RunHold(aConnection, headers, isHead);
     world_.TheRuns().OnEnd(attempt, world_.Log().Now(), isWritten);
     if (!isWritten) {
       return;
@@ -80,7 +81,9 @@
   return isOpen && aConnection.Write(kLastChunk);
 }
 
-bool PlainReplica::RunHold(Connection& aConnection, const Headers& aHeaders)
+bool PlainReplica::RunHold(Connection& aConnection,
+                           const Headers& aHeaders,
+                           bool aIsHead)
 {
   std::this_thread::sleep_for(kHoldTime);
   bool isFailing = false;
@@ -89,9 +92,15 @@
     isFailing = std::bernoulli_distribution(failingShare_)(random_);
   }
   // It has run the request, and does not say otherwise.
-  return aConnection.Write(
-    isFailing ? Format("HTTP/1.1 503 Service Unavailable", aHeaders, "failed")
-              : Format("HTTP/1.1 200 OK", aHeaders, "held"));
+  const std::string_view body = isFailing ? "failed" : "held";
+  std::string answer =
+    Format(isFailing ? "HTTP/1.1 503 Service Unavailable" : "HTTP/1.1 200 OK",
+           aHeaders,
+           body);
+  if (aIsHead) {
+    answer.resize(answer.size() - body.size());
+  }
+  return aConnection.Write(answer);
 }
 
 json::object MakeRoute(const std::string& aPrefix,
--- a/review/stand_ins/plain_replica.h
+++ b/review/stand_ins/plain_replica.h
@@ -27,7 +27,7 @@
 private:
   void Serve(Connection& aConnection);
   static bool Stream(Connection& aConnection, const Headers& aHeaders);
-  bool RunHold(Connection& aConnection, const Headers& aHeaders);
+  bool RunHold(Connection& aConnection, const Headers& aHeaders, bool aIsHead);
 
   World& world_;
   std::string id_;
--- a/review/stand_ins/wire.cpp
+++ b/review/stand_ins/wire.cpp
@@ -173,7 +173,7 @@
   }
 }
 
-ReadEnd Connection::Read(Message& aMessage, Clock::time_point aDeadline)
+ReadEnd Connection::ReadHead(Message& aMessage, Clock::time_point aDeadline)
 {
   aMessage = {};
   std::size_t headEnd = buffer_.find(kHeaderEnd);
@@ -185,6 +185,22 @@
   }
   ParseHead(buffer_.substr(0, headEnd), aMessage);
   buffer_.erase(0, headEnd + kHeaderEnd.size());
+  return ReadEnd::Complete;
+}
+
+std::string Connection::ReadExtra(Clock::time_point aDeadline)
+{
+  while (!Fill(aDeadline)) {
+  }
+  return buffer_;
+}
+
+ReadEnd Connection::Read(Message& aMessage, Clock::time_point aDeadline)
+{
+  if (const ReadEnd end = ReadHead(aMessage, aDeadline);
+      end != ReadEnd::Complete) {
+    return end;
+  }
   if (aMessage.Get("Transfer-Encoding") == "chunked") {
     return ReadChunks(aMessage, aDeadline).value_or(ReadEnd::Complete);
   }
--- a/review/stand_ins/wire.h
+++ b/review/stand_ins/wire.h
@@ -58,6 +58,10 @@
   bool Write(std::string_view aBytes);
   /** Reads a message with a length, with chunks or without a body. */
   ReadEnd Read(Message& aMessage, Clock::time_point aDeadline);
+  /** Reads the head of a message alone: the answer to HEAD has no body. */
+  ReadEnd ReadHead(Message& aMessage, Clock::time_point aDeadline);
+  /** Bytes that have come after the last message, until the deadline. */
+  std::string ReadExtra(Clock::time_point aDeadline);
   /** Resets the connection. */
   void Reset();
   /** Whether the other side has closed the connection. */
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -279,6 +279,7 @@
 int RunLastTenant(World& aWorld, bool aHasTrouble);
 int RunGreyReplica(World& aWorld, bool aHasTrouble);
 int RunStoreDrill(World& aWorld, bool aHasTrouble);
+int RunRefusedHeads(World& aWorld, bool aHasTrouble);
 int RunSilentStreams(World& aWorld, bool aHasTrouble);
 
 } // namespace review
