Show that a malformed count of pieces ends other gateways

Room is made for as many handles as a request names pieces. At the owner of a stage's queue the exception leaves the event loop and ends the process, with all that it had passed on; the requester then asks the next owner.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/gypsumstream" ] && [ -x "$root/target/review/stand_ins" ] ||
   { echo "build target/gypsumstream and run review/build.sh first"; exit 2; }
-"$root/target/review/stand_ins" "$root" late-copies "$here/record.txt"
+"$root/target/review/stand_ins" "$root" silent-streams "$here/record.txt"
 code=$?
 tail -n 1 "$here/record.txt"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/stand_ins/main.cpp
+++ b/review/stand_ins/main.cpp
@@ -46,6 +46,9 @@
     if (name == "silent-streams") {
       return review::RunSilentStreams(world, hasTrouble);
     }
+    if (name == "odd-count") {
+      return review::RunOddCount(world, hasTrouble);
+    }
     std::fprintf(stderr, "no such case: %s\n", name.c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "cannot run: %s\n", error.what());
--- a/review/stand_ins/world.h
+++ b/review/stand_ins/world.h
@@ -280,6 +280,7 @@
 int RunGreyReplica(World& aWorld, bool aHasTrouble);
 int RunStoreDrill(World& aWorld, bool aHasTrouble);
 int RunRefusedHeads(World& aWorld, bool aHasTrouble);
+int RunOddCount(World& aWorld, bool aHasTrouble);
 int RunSilentStreams(World& aWorld, bool aHasTrouble);
 
 } // namespace review
