Let several threads watch one child process in tests

Cause: eight clients of LateArrivalFixture ask ChildProcess::IsRunning. Two waitpid calls could meet; the later one failed with ECHILD and wrote isReaped_ back to false, after which the process counted as running for good.

Change: the state is guarded by a lock. Wait() first waits without reaping (WNOWAIT), so that it does not hold the lock meanwhile. Its former check of errno also took any failure for the end and left the status unset.

--- a/tests/driver_tests.cpp
+++ b/tests/driver_tests.cpp
@@ -5,3 +5,4 @@
 #include "tests/drivers/test_http_client.h"
 #include "tests/drivers/test_http_server.h"
 #include "tests/drivers/test_peer_transport.h"
+#include "tests/support/test_child_process.h"
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -52,14 +52,13 @@
 
 ChildProcess::~ChildProcess()
 {
-  if (!isReaped_) {
-    Signal(SIGKILL);
-    Wait();
-  }
+  Signal(SIGKILL);
+  Wait();
 }
 
 void ChildProcess::Signal(int aSignal) const
 {
+  const std::lock_guard lock(mutex_);
   if (!isReaped_) {
     kill(id_, aSignal);
   }
@@ -67,19 +66,31 @@
 
 int ChildProcess::Wait()
 {
-  while (!isReaped_) {
-    isReaped_ = waitpid(id_, &status_, 0) == id_ || errno != EINTR;
+  // Waits without reaping, so that other threads need not wait for the lock. An
+  // error other than an interruption means that one of them has reaped it.
+  siginfo_t ignored{};
+  while (waitid(P_PID, static_cast<id_t>(id_), &ignored, WEXITED | WNOWAIT) !=
+           0 &&
+         errno == EINTR) {
   }
+  const std::lock_guard lock(mutex_);
+  ReapIfEnded();
   return WIFSIGNALED(status_) ? kSignalBase + WTERMSIG(status_)
                               : WEXITSTATUS(status_);
 }
 
 bool ChildProcess::IsRunning()
+{
+  const std::lock_guard lock(mutex_);
+  ReapIfEnded();
+  return !isReaped_;
+}
+
+void ChildProcess::ReapIfEnded()
 {
   if (!isReaped_) {
     isReaped_ = waitpid(id_, &status_, WNOHANG) == id_;
   }
-  return !isReaped_;
 }
 
 } // namespace gypsum::tests
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -2,12 +2,14 @@
 
 #include <sys/types.h>
 
+#include <mutex>
 #include <string>
 #include <vector>
 
 namespace gypsum::tests {
 
-/** A child process; the destructor kills and reaps it. */
+/** A child process; the destructor kills and reaps it. Any thread may use it.
+ */
 class ChildProcess
 {
 public:
@@ -26,7 +28,11 @@
   pid_t Id() const { return id_; }
 
 private:
+  /** Reaps the process if it has ended; call with the lock held. */
+  void ReapIfEnded();
+
   pid_t id_ = -1;
+  mutable std::mutex mutex_; ///< Of what follows.
   int status_ = 0;
   bool isReaped_ = false;
 };
