Let only the main thread of a process take signals

Cause: the thread of the peer transport did not block signals. A second signal that comes before the main thread has handled the first interrupts zmq::poll there, which throws on EINTR; nothing catches that.

Evidence: the stop of a gateway ended by 'zmq::error_t: Interrupted system call', exit code 134; /proc shows an empty SigBlk for that thread.

Change: all signals are blocked before a thread is started, and taken by the main thread while its loop runs. So no other thread can be interrupted, whatever the order and time of the signals. An interrupted turn of the peer thread is one without events. If that thread ends by another error, the gateway logs it, drains and exits with code 1 instead of aborting; entries and agents as well.

--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -2,12 +2,14 @@
 
 #include "drivers/log.h"
 #include "drivers/peer/peer_codec.h"
+#include "kernel/signal_block.h"
 
 #include <boost/json/object.hpp>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <exception>
 #include <string_view>
 #include <system_error>
 #include <utility>
@@ -82,7 +84,8 @@
 void PeerTransport::Start(Kernel& /*aKernel*/)
 {
   router_.bind("tcp://" + bindAddress_);
-  thread_ = std::thread([this] { Loop(); });
+  const SignalBlock signals;
+  thread_ = std::thread([this] { Run(); });
 }
 
 void PeerTransport::Stop()
@@ -94,34 +97,60 @@
   }
 }
 
+void PeerTransport::Run()
+{
+  try {
+    Loop();
+  } catch (const std::exception& error) {
+    Log(Severity::Error,
+        kComponent,
+        std::string("the thread of the peer transport ends: ") + error.what());
+    if (failureHandler_) {
+      failureHandler_(error.what());
+    }
+  }
+}
+
 void PeerTransport::Loop()
 {
-  std::vector<zmq::pollitem_t> items;
-  std::vector<zmq::socket_t*> sockets;
   while (!isStopping_) {
-    items.assign({ { nullptr, wakeDescriptor_, ZMQ_POLLIN, 0 },
-                   { router_.handle(), 0, ZMQ_POLLIN, 0 } });
-    sockets.clear();
-    for (auto& [address, dealer] : dealers_) {
-      items.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
-      sockets.push_back(&dealer);
-    }
-    zmq::poll(items, kPollTimeout);
-    if ((items[1].revents & ZMQ_POLLIN) != 0) {
-      ReceiveRouted();
-    }
-    for (std::size_t index = 0; index < sockets.size(); ++index) {
-      if ((items[index + 2].revents & ZMQ_POLLIN) != 0) {
-        ReceiveReplies(*sockets[index]);
+    try {
+      RunOnce();
+    } catch (const zmq::error_t& error) {
+      // A debugger or profiler interrupts the thread although it blocks
+      // signals.
+      if (error.num() != EINTR) {
+        throw;
       }
     }
-    if ((items[0].revents & ZMQ_POLLIN) != 0) {
-      SendQueued();
-    }
   }
   SendQueued();
 }
 
+void PeerTransport::RunOnce()
+{
+  pollItems_.assign({ { nullptr, wakeDescriptor_, ZMQ_POLLIN, 0 },
+                      { router_.handle(), 0, ZMQ_POLLIN, 0 } });
+  for (auto& [address, dealer] : dealers_) {
+    pollItems_.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
+  }
+  zmq::poll(pollItems_, kPollTimeout);
+  if ((pollItems_[1].revents & ZMQ_POLLIN) != 0) {
+    ReceiveRouted();
+  }
+  // Only `SendQueued` adds dealers.
+  auto item = pollItems_.begin() + 2;
+  for (auto& [address, dealer] : dealers_) {
+    if ((item->revents & ZMQ_POLLIN) != 0) {
+      ReceiveReplies(dealer);
+    }
+    ++item;
+  }
+  if ((pollItems_[0].revents & ZMQ_POLLIN) != 0) {
+    SendQueued();
+  }
+}
+
 void PeerTransport::SendQueued()
 {
   eventfd_t count = 0;
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -13,7 +13,9 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -33,6 +35,9 @@
 public:
   /** Called on the transport thread; the route is empty for replies. */
   using Handler = std::function<void(Route, PeerMessage)>;
+  /** Called on the transport thread, with the reason, if it ends by an error.
+   * No messages are exchanged any more. */
+  using FailureHandler = std::function<void(std::string_view)>;
 
   explicit PeerTransport(std::string aBindAddress);
   ~PeerTransport();
@@ -42,6 +47,12 @@
   /** Sets the receiver of messages; call before `Start`. */
   void SetHandler(Handler aHandler) { handler_ = std::move(aHandler); }
 
+  /** Sets who hears that the thread has ended; call before `Start`. */
+  void SetFailureHandler(FailureHandler aHandler)
+  {
+    failureHandler_ = std::move(aHandler);
+  }
+
   /** Sends to an address; dropped and counted without a connection. */
   void SendTo(std::string aAddress, const PeerMessage& aMessage);
   /** Replies along the route of a received message. */
@@ -59,7 +70,11 @@
     std::string bytes;
   };
 
+  /** Runs the loop on the transport thread and reports its failure. */
+  void Run();
   void Loop();
+  /** Waits for events and handles them. */
+  void RunOnce();
   void Enqueue(Outgoing aOutgoing);
   void SendQueued();
   void Transmit(const Outgoing& aOutgoing);
@@ -70,9 +85,11 @@
 
   std::string bindAddress_;
   Handler handler_;
+  FailureHandler failureHandler_;
   zmq::context_t context_{ 1 };
   zmq::socket_t router_;
   std::map<std::string, zmq::socket_t> dealers_;
+  std::vector<zmq::pollitem_t> pollItems_; ///< Kept for its memory.
   int wakeDescriptor_ = -1;
   std::mutex mutex_;
   std::vector<Outgoing> outgoing_;
--- a/main/gateway_command.cpp
+++ b/main/gateway_command.cpp
@@ -2,6 +2,7 @@
 
 #include "core/gateway/gateway_settings.h"
 #include "drivers/event_log.h"
+#include "kernel/signal_block.h"
 #include "main/commands.h"
 #include "servers/gateway/gateway_process.h"
 
@@ -38,6 +39,7 @@
 
 int RunGatewayCommand(Arguments aArguments)
 {
+  const sigset_t mask = BlockSignals();
   TCLAP::CmdLine line(
     "Serves clients and calls backend servers itself.", ' ', kVersion);
   TCLAP::UnlabeledValueArg<std::string> file(
@@ -67,7 +69,7 @@
                settings->logLinesPerSecond,
                STDOUT_FILENO);
   GatewayProcess process(*settings, log, [path] { return ReadSettings(path); });
-  return process.Run();
+  return process.Run(mask);
 }
 
 } // namespace gypsum
--- a/main/process.cpp
+++ b/main/process.cpp
@@ -7,6 +7,7 @@
 #include "drivers/platform/platform_watcher.h"
 #include "kernel/control_thread.h"
 #include "kernel/kernel.h"
+#include "kernel/signal_block.h"
 #include "servers/agent/agent_service.h"
 #include "servers/common/configuration_service.h"
 #include "servers/common/metrics.h"
@@ -15,6 +16,8 @@
 #include "servers/entry/caller_api.h"
 #include "servers/entry/entry_service.h"
 
+#include <unistd.h>
+
 #include <csignal>
 #include <ctime>
 #include <memory>
@@ -29,14 +32,12 @@
 constexpr std::uint64_t kMaxOperatorBodyBytes = 65'536;
 constexpr long kSignalPollNs = 20'000'000;
 
-/** Blocks stop signals in this thread and in every thread it starts later. */
-sigset_t BlockStopSignals()
+sigset_t StopSignals()
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
 
@@ -78,8 +79,10 @@
   options.seed = aSelf.incarnation;
   aKernel.Register("configuration",
                    std::make_unique<ConfigurationService>(std::move(options)));
-  aKernel.Register("peers",
-                   std::make_unique<PeerTransport>(aSettings.peerBindAddress));
+  auto peers = std::make_unique<PeerTransport>(aSettings.peerBindAddress);
+  peers->SetFailureHandler(
+    [](std::string_view /*aReason*/) { kill(getpid(), SIGTERM); });
+  aKernel.Register("peers", std::move(peers));
   aKernel.Register(
     "platform", std::make_unique<PlatformWatcher>(aSettings.platformAddresses));
 }
@@ -87,7 +90,8 @@
 template<typename Role>
 int RunUntilStopped(Kernel& aKernel, Role& aRole, const Settings& aSettings)
 {
-  const sigset_t signals = BlockStopSignals();
+  BlockSignals();
+  const sigset_t signals = StopSignals();
   aKernel.Start();
   Log(Severity::Info,
       kComponent,
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/gateway_process.h"
 
 #include "drivers/clock.h"
+#include "kernel/signal_block.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -124,6 +125,12 @@
   origins_.SetRegistryReader([this] { store_.RequestBackendList(); });
   platformState_.SetVersionObserver(
     [this](StorePart) { knowledge_.Announce(); });
+  peers_.SetFailureHandler([this](std::string_view aReason) {
+    state_.log.Write(
+      LogClass::StateChange, "peers-failed", { { "reason", aReason } });
+    hasFailed_ = true;
+    BeginStop();
+  });
   peers_.SetLimitsHandler(
     [this](const std::string& aPeer, std::span<const BackendLimit> aLimits) {
       limits_.OnPeerLimits(aPeer, aLimits);
@@ -137,7 +144,7 @@
   });
 }
 
-int GatewayProcess::Run()
+int GatewayProcess::Run(const sigset_t& aMask)
 {
   std::signal(SIGPIPE, SIG_IGN);
   state_.log.Write(LogClass::StateChange,
@@ -162,14 +169,17 @@
   store_.Start();
   asio::co_spawn(loop_, HandleSignals(), asio::detached);
   asio::co_spawn(loop_, Housekeeping(), asio::detached);
+  SetSignalMask(aMask);
   loop_.run();
+  // A signal after the last request has no handler any more.
+  BlockSignals();
   peers_.Stop();
   const bool isDrained = clientListener_.BusyCount() == 0;
   state_.log.Write(LogClass::StateChange,
                    "stop",
                    { { "drained", isDrained ? 1U : 0U },
                      { "left", clientListener_.BusyCount() } });
-  return 0;
+  return hasFailed_ ? 1 : 0;
 }
 
 bool GatewayProcess::IsReady() const
@@ -341,22 +351,27 @@
       CheckSettings();
       continue;
     }
-    if (state_.IsStopping()) {
-      continue;
-    }
-    state_.stop.emplace(Now().steady, state_.settings.gracePeriod);
-    clientListener_.CloseAfterResponses();
-    state_.log.Write(LogClass::StateChange,
-                     "stopping",
-                     { { "busy", clientListener_.BusyCount() },
-                       { "connections", clientListener_.Connections() } });
-    peers_.AnnounceStop();
-    origins_.HandOver();
-    pieces_.HandOver(BatchQueue::Leaving::NotBegun);
-    asio::co_spawn(loop_, Drain(), asio::detached);
+    BeginStop();
   }
 }
 
+void GatewayProcess::BeginStop()
+{
+  if (state_.IsStopping()) {
+    return;
+  }
+  state_.stop.emplace(Now().steady, state_.settings.gracePeriod);
+  clientListener_.CloseAfterResponses();
+  state_.log.Write(LogClass::StateChange,
+                   "stopping",
+                   { { "busy", clientListener_.BusyCount() },
+                     { "connections", clientListener_.Connections() } });
+  peers_.AnnounceStop();
+  origins_.HandOver();
+  pieces_.HandOver(BatchQueue::Leaving::NotBegun);
+  asio::co_spawn(loop_, Drain(), asio::detached);
+}
+
 asio::awaitable<void> GatewayProcess::Drain()
 {
   const Instant begin = Now().steady;
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -37,13 +38,17 @@
                  EventLog& aLog,
                  Reload aReload);
 
-  /** Serves until a stop signal and its drain; returns the exit code. */
-  int Run();
+  /** Serves until a stop signal and its drain; returns the exit code. Signals
+   * are blocked when it is called and when it returns; `aMask` is that of the
+   * calling thread while it handles them. */
+  int Run(const sigset_t& aMask);
 
 private:
   boost::asio::awaitable<void> ServeOperatorEndpoint(
     ClientConnectionPtr aClient);
   boost::asio::awaitable<void> HandleSignals();
+  /** Starts the graceful stop; has no effect on a gateway that stops. */
+  void BeginStop();
   boost::asio::awaitable<void> Housekeeping();
   boost::asio::awaitable<void> Drain();
   EdgeResponse RespondToReadinessCheck(std::string_view aTarget) const;
@@ -72,6 +77,8 @@
   boost::asio::signal_set signals_;
   /** Maximum delay of the event loop since the last metrics report. */
   Duration maxLoopDelay_{};
+  /** A thread has ended by an error, which is why the gateway stops. */
+  bool hasFailed_ = false;
 };
 
 } // namespace gypsum
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -58,6 +58,11 @@
                  Receive(std::move(route), std::move(message));
                });
   });
+  transport_.SetFailureHandler([this](std::string_view aReason) {
+    asio::post(state_.loop, [this, reason = std::string(aReason)] {
+      failureHandler_(reason);
+    });
+  });
   Kernel unused;
   transport_.Start(unused);
   asio::co_spawn(state_.loop, RoundLoop(), asio::detached);
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -70,6 +70,9 @@
   using ClaimsHandler =
     std::function<void(const std::string&, const GatewayStatus&)>;
 
+  /** Called with the reason. */
+  using FailureHandler = std::function<void(std::string_view)>;
+
   PeerExchange(GatewayState& aState, PlatformState& aPlatformState);
 
   /** Sets the handler of messages about pieces; call before `Start`. */
@@ -91,6 +94,11 @@
   {
     claimsHandler_ = std::move(aHandler);
   }
+  /** Sets who hears that no messages are exchanged any more. */
+  void SetFailureHandler(FailureHandler aHandler)
+  {
+    failureHandler_ = std::move(aHandler);
+  }
   /** Sets who hears of the limits that peers know. */
   void SetLimitsHandler(LimitsHandler aHandler)
   {
@@ -193,6 +201,7 @@
   CrashStatusHandler crashStatusHandler_;
   LimitsHandler limitsHandler_;
   ClaimsHandler claimsHandler_;
+  FailureHandler failureHandler_;
   /** When each peer was heard that has not said that it leaves. */
   std::map<std::string, Instant, std::less<>> heardAt_;
   std::map<std::string, Peer, std::less<>> peers_;
