Order the revisions of the store by its era

What callers saw: after a drill of the store an acknowledged version of the configuration was never adopted.

Cause: gateways compare bare revisions. When the store comes back from a copy it gives revisions out again; a watch from one of them gets no 410 once it has been given out, and misses what was written under those before.

Change: StoreRevision (era, revision) for entries, lists, claims, messages of peers and the dump. Responses of another era lead to a list; a later era begins when two lists in a row name it; earlier ones change and confirm nothing. So no watch goes on across a drill, whatever revisions it meets. What the copy has forgotten of servers is not taken for news.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -90,8 +90,19 @@
     return { removed };
   }
   Entry& entry = entries_[aChange.id];
+  const bool isFromCopy =
+    entry.record && aChange.record && entry.revision.era < aChange.revision.era;
   entry.revision = aChange.revision;
+  if (isFromCopy && aChange.record->startedMs < entry.record->startedMs) {
+    // The copy lacks the later incarnation, which registers again.
+    entry.missingUntil = reregistrationEndsAt_;
+    return {};
+  }
   entry.missingUntil.reset();
+  if (isFromCopy && entry.record->isDraining &&
+      entry.record->startedMs == aChange.record->startedMs) {
+    leavingSince_.try_emplace({ aChange.id, aChange.record->startedMs }, aNow);
+  }
   if (aChange.isUnreadable) {
     entry.record.reset();
     Rebuild();
@@ -135,6 +146,9 @@
   if (aSnapshot.revision < revision_) {
     return {};
   }
+  if (aSnapshot.revision.era > revision_.era && revision_.revision > 0) {
+    reregistrationEndsAt_ = aNow + kReregistrationTimeout;
+  }
   std::vector<RegistryEvent> events;
   std::set<std::string_view> listed;
   for (const RegistryChange& change : aSnapshot.entries) {
@@ -155,8 +169,9 @@
   std::vector<RegistryChange> gone;
   for (const auto& [id, entry] : entries_) {
     if (!listed.contains(id) && !entry.missingUntil) {
-      gone.push_back(
-        { id, std::max(aSnapshot.revision, entry.revision + 1), std::nullopt });
+      const StoreRevision next{ entry.revision.era,
+                                entry.revision.revision + 1 };
+      gone.push_back({ id, std::max(aSnapshot.revision, next), std::nullopt });
     }
   }
   for (const RegistryChange& change : gone) {
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/store_revision.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -36,7 +37,7 @@
 struct RegistryChange
 {
   std::string id;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::optional<BackendRecord> record; ///< Empty: removed or unreadable.
   bool isUnreadable = false;
   /** The store lacks the entry: it is removed after this time, unless the
@@ -47,7 +48,7 @@
 /** The whole registry at one revision. */
 struct RegistrySnapshot
 {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   std::vector<RegistryChange> entries;
 };
 
@@ -85,10 +86,13 @@
  * A change of an entry is applied only if its revision is newer. Leases expire
  * while the store is unreachable, so an entry that is missing right after the
  * store reconnected is kept for `kReregistrationTimeout`: a live server
- * registers again within that time.
+ * registers again within that time. The same holds when an era of the store
+ * begins: its copy lacks what was written last.
  *
  * Leaving is one state of an incarnation, whether the store says so or the
- * server itself; the store can't undo the word of the server.
+ * server itself; the store can't undo the word of the server. An entry of a new
+ * era may be older than the one before: it neither ends the leaving of an
+ * incarnation nor brings an earlier one back.
  */
 class BackendRegistry
 {
@@ -127,14 +131,14 @@
     return IsListed({ aBackend.id, aBackend.startedMs });
   }
 
-  std::uint64_t Revision() const { return revision_; }
+  StoreRevision Revision() const { return revision_; }
   /** All entries with their revisions, to send to a peer. */
   RegistrySnapshot Snapshot(Instant aNow) const;
 
 private:
   struct Entry
   {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     BackendPtr record; ///< Null while the entry is unreadable.
     std::optional<Instant> missingUntil;
   };
@@ -157,7 +161,7 @@
   std::map<std::string, std::vector<BackendPtr>, std::less<>> usable_;
   std::map<std::string, BackendPtr, std::less<>> byAddress_;
   std::map<Incarnation, Instant> leavingSince_;
-  std::uint64_t revision_ = 0;
+  StoreRevision revision_;
   std::optional<Instant> reregistrationEndsAt_;
 };
 
--- a/core/gateway/store_knowledge.cpp
+++ b/core/gateway/store_knowledge.cpp
@@ -65,6 +65,10 @@
   if (aClaim.age >= kUnknownAge) {
     return;
   }
+  // What held in an earlier era says nothing about the store as it is now.
+  if (aClaim.version.era < version_.era) {
+    return;
+  }
   const Instant upTo = aAskedAt - aClaim.age;
   if (aClaim.version <= version_) {
     Confirm(upTo, aPeer);
@@ -79,11 +83,15 @@
   Confirm(aUpTo, "store");
 }
 
-void StoreKnowledge::OnVersion(std::uint64_t aVersion)
+void StoreKnowledge::OnVersion(StoreRevision aVersion)
 {
   if (aVersion <= version_) {
     return;
   }
+  if (aVersion.era > version_.era) {
+    // The changes between the copy and the new era are not known.
+    followedSince_.reset();
+  }
   version_ = aVersion;
   fetchingSince_.reset();
   for (auto& [address, peer] : peers_) {
@@ -100,7 +108,7 @@
   if (confirmedAt_ && aUpTo <= *confirmedAt_) {
     return;
   }
-  if (!confirmedAt_ || aUpTo - *confirmedAt_ > kMaxGap) {
+  if (!followedSince_ || !confirmedAt_ || aUpTo - *confirmedAt_ > kMaxGap) {
     followedSince_ = aUpTo;
   }
   confirmedAt_ = aUpTo;
--- a/core/gateway/store_knowledge.h
+++ b/core/gateway/store_knowledge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/gateway/store_revision.h"
 #include "core/time.h"
 
 #include <cstddef>
@@ -31,8 +32,9 @@
 /** What a gateway says of its knowledge of one part of the store. */
 struct KnowledgeClaim
 {
-  /** Version of the configuration, or revision of the registry. */
-  std::uint64_t version = 0;
+  /** Revision of the registry. For the configuration its own version, without
+   * an era: the operator goes on counting when the store goes back. */
+  StoreRevision version;
   /** Time since the store is known to have had nothing newer. */
   Duration age = kUnknownAge;
   /** The same, by responses of the store to this gateway itself. */
@@ -97,7 +99,7 @@
   /** The store has said that the own version is the newest up to a moment. */
   void OnRead(Instant aUpTo);
   /** The version that this gateway has; call it after each change. */
-  void OnVersion(std::uint64_t aVersion);
+  void OnVersion(StoreRevision aVersion);
   void RemovePeer(std::string_view aPeer);
 
   /** Whether this gateway is to read the store now. */
@@ -111,7 +113,7 @@
   std::optional<std::string> ChooseSource(std::span<const std::string> aLive,
                                           Instant aNow);
 
-  std::uint64_t Version() const { return version_; }
+  StoreRevision Version() const { return version_; }
   KnowledgeClaim Claim(Instant aNow) const;
   /** Time since the own version is known to have been the newest. */
   Duration Age(Instant aNow) const;
@@ -140,7 +142,7 @@
   /** A peer's word on a version that is still to be fetched. */
   struct PendingConfirmation
   {
-    std::uint64_t version = 0;
+    StoreRevision version;
     Instant upTo{};
     std::string source;
   };
@@ -156,7 +158,7 @@
 
   std::uint64_t ownWeight_;
   std::minstd_rand random_;
-  std::uint64_t version_ = 0;
+  StoreRevision version_;
   std::optional<Instant> confirmedAt_;
   std::optional<Instant> followedSince_;
   std::optional<Instant> readAt_;
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -130,7 +130,8 @@
 
 void Fill(proto::KnowledgeClaim& aTo, const KnowledgeClaim& aFrom)
 {
-  aTo.set_version(aFrom.version);
+  aTo.set_version(aFrom.version.revision);
+  aTo.set_era(aFrom.version.era);
   aTo.set_age_us(static_cast<std::uint64_t>(aFrom.age.count()));
   aTo.set_read_age_us(static_cast<std::uint64_t>(aFrom.readAge.count()));
 }
@@ -216,11 +217,13 @@
 void FillBody(proto::Envelope& aTo, const RegistryReply& aFrom)
 {
   proto::RegistryReply& to = *aTo.mutable_registry_reply();
-  to.set_revision(aFrom.list.revision);
+  to.set_revision(aFrom.list.revision.revision);
+  to.set_era(aFrom.list.revision.era);
   for (const RegistryChange& entry : aFrom.list.entries) {
     proto::BackendRecord& item = *to.add_entries();
     item.set_id(entry.id);
-    item.set_revision(entry.revision);
+    item.set_revision(entry.revision.revision);
+    item.set_era(entry.revision.era);
     item.set_is_unreadable(!entry.record);
     if (entry.record) {
       item.set_service(entry.record->service);
@@ -647,7 +650,7 @@
   if (!aIsPresent) {
     return {};
   }
-  return { aFrom.version(),
+  return { { aFrom.era(), aFrom.version() },
            ReadBoundedAge(aFrom.age_us()),
            ReadBoundedAge(aFrom.read_age_us()) };
 }
@@ -718,11 +721,12 @@
 RegistryReply Read(const proto::RegistryReply& aFrom)
 {
   RegistryReply reply;
-  reply.list.revision = aFrom.revision();
+  reply.list.revision = { aFrom.era(), aFrom.revision() };
   for (const proto::BackendRecord& item : aFrom.entries()) {
-    RegistryChange entry{
-      item.id(), item.revision(), std::nullopt, item.is_unreadable()
-    };
+    RegistryChange entry{ item.id(),
+                          { item.era(), item.revision() },
+                          std::nullopt,
+                          item.is_unreadable() };
     if (!item.is_unreadable()) {
       entry.record =
         BackendRecord{ item.id(),         item.service(),
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -272,7 +272,7 @@
   const Instant now = Now().steady;
   std::string text = "name: " + state_.settings.name + "\n";
   text += "version: " + std::to_string(platformState_.Version()) + "\n";
-  text += "registry: " + std::to_string(state_.registry.Revision()) + "\n";
+  text += "registry: " + TextOf(state_.registry.Revision()) + "\n";
   text += "peers: " + std::to_string(peers_.LiveGateways() - 1) + "\n";
   for (const RegistryChange& entry :
        state_.registry.Snapshot(Now().steady).entries) {
--- a/servers/gateway/knowledge_service.cpp
+++ b/servers/gateway/knowledge_service.cpp
@@ -144,7 +144,7 @@
   state_.log.Write(LogClass::StateChange,
                    isOutdated ? "knowledge-outdated" : "knowledge-current",
                    { { "part", NameOf(aPart) },
-                     { "version", knowledge.Version() },
+                     { "version", TextOf(knowledge.Version()) },
                      { "age", knowledge.Age(now) },
                      { "read-age", knowledge.ReadAge(now) },
                      { "source", knowledge.Source() },
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -15,7 +15,7 @@
   return state_.routes ? state_.routes->Configuration().version : 0;
 }
 
-void PlatformState::OnVersion(StorePart aPart, std::uint64_t aVersion)
+void PlatformState::OnVersion(StorePart aPart, StoreRevision aVersion)
 {
   StoreKnowledge& knowledge = state_.Knowledge(aPart);
   if (aVersion <= knowledge.Version()) {
@@ -59,7 +59,7 @@
                      { "keys", adopted.customersByKey.size() } });
   state_.metrics.Set(
     "configuration_version", "", "", static_cast<double>(adopted.version));
-  OnVersion(StorePart::Configuration, adopted.version);
+  OnVersion(StorePart::Configuration, { 0, adopted.version });
   return true;
 }
 
@@ -76,7 +76,7 @@
                        { "service", event.service },
                        { "software", event.version },
                        { "source", aSource },
-                       { "registry", state_.registry.Revision() } });
+                       { "registry", TextOf(state_.registry.Revision()) } });
     if (observer_) {
       observer_(event);
     }
@@ -114,7 +114,7 @@
                    { { "backend", aLeaving.backend },
                      { "source", aSource },
                      { "age", aLeaving.age },
-                     { "registry", state_.registry.Revision() } });
+                     { "registry", TextOf(state_.registry.Revision()) } });
   return true;
 }
 
@@ -149,7 +149,7 @@
                    "store-away",
                    { { "what", aReason },
                      { "version", Version() },
-                     { "registry", state_.registry.Revision() } });
+                     { "registry", TextOf(state_.registry.Revision()) } });
 }
 
 void PlatformState::Expire()
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -61,7 +61,7 @@
 
 private:
   void ObserveVersions();
-  void OnVersion(StorePart aPart, std::uint64_t aVersion);
+  void OnVersion(StorePart aPart, StoreRevision aVersion);
   void OnRegistryEvents(std::span<const RegistryEvent> aEvents,
                         std::string_view aSource);
 
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -637,7 +637,7 @@
       { "version",
         aAttempt.routeTable ? aAttempt.routeTable->Configuration().version
                             : 0 },
-      { "registry", state_.registry.Revision() },
+      { "registry", TextOf(state_.registry.Revision()) },
       { "trait", aAttempt.refusedTrait },
       { "store-age", Now().steady - state_.lastStoreResponseAt },
       { "configuration-age", state_.configurationKnowledge.Age(Now().steady) },
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -1,7 +1,6 @@
 #include "servers/gateway/store_follower.h"
 
 #include "drivers/clock.h"
-#include "drivers/edge/backend_exchange.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -126,6 +125,7 @@
     co_return reply;
   }
   const unsigned status = exchange.GetHead().result_int();
+  reply.era = EraOf(exchange);
   const BodyPart body =
     co_await exchange.ReadRest(deadline + kResponseTimeout, kMaxResponseBytes);
   if (body.state != ExchangeState::Ok) {
@@ -143,7 +143,8 @@
     platformState_.OnStoreCallFailed("status-" + std::to_string(status));
     co_return reply;
   }
-  auto decoded = DecodeStoreResponse(body.bytes);
+  auto decoded =
+    DecodeStoreResponse(body.bytes, reply.era.value_or(eras_.Current()));
   if (const auto* const fault = std::get_if<DecodeFault>(&decoded)) {
     platformState_.OnStoreCallFailed("unreadable: " + fault->text);
     co_return reply;
@@ -154,6 +155,40 @@
   co_return reply;
 }
 
+std::optional<std::uint64_t> StoreFollower::EraOf(
+  const BackendExchange& aExchange)
+{
+  const auto& head = aExchange.GetHead();
+  const auto field = head.find(StoreEraHeader());
+  if (field == head.end()) {
+    return std::nullopt;
+  }
+  const auto era = DecodeStoreEra(field->value());
+  if (!era) {
+    state_.log.Write(LogClass::StateChange,
+                     "store-era-unreadable",
+                     { { "era", std::string_view(field->value()) } });
+  }
+  return era;
+}
+
+bool StoreFollower::IsCurrent(StorePart aPart,
+                              StoreEras::Verdict aVerdict,
+                              std::uint64_t aExpected,
+                              const Reply& aReply)
+{
+  if (aVerdict == StoreEras::Verdict::Current) {
+    return true;
+  }
+  state_.log.Write(LogClass::StateChange,
+                   aVerdict == StoreEras::Verdict::Older ? "store-era-older"
+                                                         : "store-era-changed",
+                   { { "part", NameOf(aPart) },
+                     { "expected", aExpected },
+                     { "era", aReply.era.value_or(0) } });
+  return false;
+}
+
 void StoreFollower::Adopt(StorePart aPart, const StoreResponse& aResponse)
 {
   for (const DecodeFault& fault : aResponse.faults) {
@@ -172,7 +207,7 @@
 }
 
 asio::awaitable<bool> StoreFollower::List(StorePart aPart,
-                                          std::uint64_t& aRevision)
+                                          StoreRevision& aRevision)
 {
   RegistrySnapshot list;
   std::string after;
@@ -185,9 +220,18 @@
     // The pages are not one snapshot: the watch starts at the revision of the
     // first page, so that it includes changes during the listing.
     if (isFirst) {
+      eras_.OnPeer(state_.registry.Revision().era);
+      const std::uint64_t known = eras_.Current();
+      if (!IsCurrent(aPart, eras_.OnList(reply.era), known, reply)) {
+        co_return false;
+      }
       list.revision = reply.response.revision;
       begin = reply.sentAt;
     }
+    const std::uint64_t era = list.revision.era;
+    if (!IsCurrent(aPart, StoreEras::OfWatch(era, reply.era), era, reply)) {
+      co_return false;
+    }
     if (aPart == StorePart::Configuration) {
       Adopt(aPart, reply.response);
     }
@@ -210,17 +254,24 @@
 }
 
 asio::awaitable<bool> StoreFollower::Watch(StorePart aPart,
-                                           std::uint64_t& aRevision,
+                                           StoreRevision& aRevision,
                                            Duration& aRetryDelay)
 {
   const auto wait =
     std::chrono::duration_cast<std::chrono::milliseconds>(WatchWait(aPart));
-  Reply reply =
-    co_await Call(StoreWatchTarget(
-                    aPart, aRevision, static_cast<std::uint64_t>(wait.count())),
-                  wait);
+  Reply reply = co_await Call(
+    StoreWatchTarget(
+      aPart, aRevision.revision, static_cast<std::uint64_t>(wait.count())),
+    wait);
   switch (reply.kind) {
     case Reply::Kind::Success: {
+      const StoreEras::Verdict verdict =
+        StoreEras::OfWatch(aRevision.era, reply.era);
+      if (!IsCurrent(aPart, verdict, aRevision.era, reply)) {
+        co_await Pause(Jittered(aRetryDelay));
+        aRetryDelay = std::min(aRetryDelay * 2, kMaxRetryDelay);
+        co_return verdict == StoreEras::Verdict::Older;
+      }
       aRetryDelay = kMinRetryDelay;
       aRevision = std::max(aRevision, reply.response.revision);
       const bool hasChanges = reply.response.configuration.has_value() ||
@@ -254,7 +305,7 @@
 
 asio::awaitable<void> StoreFollower::Follow(StorePart aPart)
 {
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool isListed = false;
   bool hasHistory = true;
   Duration retryDelay = kMinRetryDelay;
@@ -269,7 +320,7 @@
     // A registry that peers have kept up to date needs no list.
     if (!isListed && aPart == StorePart::Backends && hasHistory) {
       revision = state_.registry.Revision();
-      isListed = revision > 0;
+      isListed = revision.revision > 0;
     }
     if (!isListed) {
       isListed = co_await List(aPart, revision);
@@ -298,7 +349,7 @@
 {
   while (isListRequested_) {
     isListRequested_ = false;
-    std::uint64_t ignored = 0;
+    StoreRevision ignored;
     co_await List(StorePart::Backends, ignored);
   }
   isListing_ = false;
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "core/gateway/store_eras.h"
 #include "platform/store_calls.h"
+#include "drivers/edge/backend_exchange.h"
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/platform_state.h"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -19,6 +23,10 @@
  * Runs one watch for each. A registry watch that returned changes is repeated
  * only after a pause, since calls are rate-limited and charged for. A gateway
  * that is not a reader makes no calls; its peers keep it up to date.
+ *
+ * When the store names another era, a watch can't go on: the changes after its
+ * revision may be others than those that it waits for. Everything is listed
+ * again then.
  */
 class StoreFollower
 {
@@ -47,6 +55,7 @@
     };
     Kind kind = Kind::Failed;
     StoreResponse response;
+    std::optional<std::uint64_t> era; ///< Empty if the response names none.
     Instant sentAt{};
     bool isRateLimited = false; ///< Status 429: too many calls.
   };
@@ -55,12 +64,21 @@
   boost::asio::awaitable<void> ListOnRequest();
   /** Waits for a change; false if all entries have to be listed first. */
   boost::asio::awaitable<bool> Watch(StorePart aPart,
-                                     std::uint64_t& aRevision,
+                                     StoreRevision& aRevision,
                                      Duration& aRetryDelay);
   /** Longest wait for which the knowledge stays young enough. */
   Duration WatchWait(StorePart aPart);
-  boost::asio::awaitable<bool> List(StorePart aPart, std::uint64_t& aRevision);
+  /** False if not all entries could be listed in one era. */
+  boost::asio::awaitable<bool> List(StorePart aPart, StoreRevision& aRevision);
   boost::asio::awaitable<Reply> Call(std::string aTarget, Duration aWait);
+  /** The era that a response names; logs one that is no number. */
+  std::optional<std::uint64_t> EraOf(const BackendExchange& aExchange);
+  /** Whether a response is of the era in which it was expected; logs it if not.
+   */
+  bool IsCurrent(StorePart aPart,
+                 StoreEras::Verdict aVerdict,
+                 std::uint64_t aExpected,
+                 const Reply& aReply);
   boost::asio::awaitable<void> Pause(Duration aTime);
   /** Notes whether this gateway reads a part of the store. */
   void SetReading(StorePart aPart, bool aIsReading);
@@ -70,6 +88,7 @@
   PlatformState& platformState_;
   IsReader isReader_;
   std::set<StorePart> reading_;
+  StoreEras eras_;
   bool isListRequested_ = false;
   bool isListing_ = false;
 };
--- a/tests/cell/cell_store.cpp
+++ b/tests/cell/cell_store.cpp
@@ -139,6 +139,20 @@
   WakePendingWatches();
 }
 
+void CellStore::KeepCopy()
+{
+  copy_ = { items_, history_, revision_ };
+}
+
+void CellStore::RestoreCopy()
+{
+  ++era_;
+  items_ = copy_.items;
+  history_ = copy_.history;
+  revision_ = copy_.revision;
+  WakePendingWatches();
+}
+
 asio::awaitable<void> CellStore::Serve(ClientConnectionPtr aClient, Door& aDoor)
 {
   const ClientLimits limits;
@@ -168,6 +182,7 @@
       co_await timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ignored));
     }
+    response.fields.set("Store-Era", std::to_string(era_));
     if (!co_await aClient->WriteResponse(std::move(response))) {
       co_return;
     }
@@ -263,7 +278,7 @@
                                  : StoreContent::Servers;
   const Instant deadline = Now().steady + std::chrono::milliseconds(aWaitMs);
   for (;;) {
-    if (aAfterRevision < compactedRevision_) {
+    if (aAfterRevision < compactedRevision_ || aAfterRevision > revision_) {
       co_return JsonResponse(410, {});
     }
     std::optional<EdgeResponse> response = Changes(aPrefix, aAfterRevision);
--- a/tests/cell/cell_store.h
+++ b/tests/cell/cell_store.h
@@ -58,7 +58,12 @@
   /** Discards the change history; a watch from an earlier revision gets a
    * 410. */
   void CompactHistory();
+  /** Keeps a copy of the content, to come back from. */
+  void KeepCopy();
+  /** Begins the next era with the content of the copy. */
+  void RestoreCopy();
   std::uint64_t Calls() const { return calls_; }
+  std::uint64_t Revision() const { return revision_; }
 
 private:
   struct Item
@@ -74,6 +79,13 @@
     std::optional<Item> item;
   };
 
+  struct Copy
+  {
+    std::map<std::string, Item> items;
+    std::vector<Change> history;
+    std::uint64_t revision = 0;
+  };
+
   /** An address of the store, and what happens to the calls there. */
   struct Door
   {
@@ -107,6 +119,8 @@
   std::vector<Change> history_;
   std::uint64_t revision_ = 10;
   std::uint64_t compactedRevision_ = 0;
+  std::uint64_t era_ = 1; ///< In all responses.
+  Copy copy_;
   std::uint64_t calls_ = 0;
   StoreMode mode_ = StoreMode::Up;
 };
--- a/tests/drivers/test_peer_codec.h
+++ b/tests/drivers/test_peer_codec.h
@@ -79,16 +79,18 @@
 TEST_CASE("[PeerCodec] the registry is transferred with software versions")
 {
   RegistryReply reply;
-  reply.list.revision = 12;
+  reply.list.revision = { 2, 12 };
   const BackendRecord record{ "i-1", "model", "10.0.0.1:1", "z",
                               64,    true,    17,           "v1.2" };
-  reply.list.entries = { { "i-1", 11, record, false, Duration(1'500) },
-                         { "i-2", 12, std::nullopt, true } };
+  reply.list.entries = { { "i-1", { 2, 11 }, record, false, Duration(1'500) },
+                         { "i-2", { 1, 12 }, std::nullopt, true } };
   const auto received = Decode(Encode({ { { "gateway-1", 7 }, 9, 3 }, reply }));
   REQUIRE(received);
   const auto& list = std::get<RegistryReply>(received->body).list;
-  CHECK(list.revision == 12);
+  CHECK(list.revision == StoreRevision{ 2, 12 });
   REQUIRE(list.entries.size() == 2);
+  CHECK(list.entries[0].revision == StoreRevision{ 2, 11 });
+  CHECK(list.entries[1].revision == StoreRevision{ 1, 12 });
   CHECK(list.entries[0].record == record);
   CHECK(list.entries[0].removedIn == Duration(1'500));
   CHECK(list.entries[1].isUnreadable);
@@ -243,8 +245,8 @@
           "unchanged, and a missing age is unknown")
 {
   const PeerHeader header{ { "gateway-1", 7 }, 9, 3 };
-  const KnowledgeClaim configuration{ 3, Duration(40), Duration(50) };
-  const KnowledgeClaim backends{ 17, Duration(60), kUnknownAge };
+  const KnowledgeClaim configuration{ { 0, 3 }, Duration(40), Duration(50) };
+  const KnowledgeClaim backends{ { 2, 17 }, Duration(60), kUnknownAge };
   const auto request = Decode(Encode({ header, KnowledgeRequest{ 5 } }));
   REQUIRE(request);
   CHECK(std::get<KnowledgeRequest>(request->body).number == 5);
@@ -256,7 +258,7 @@
   CHECK(std::get<KnowledgeReply>(reply->body).backends == backends);
   GatewayStatus status;
   status.configuration = configuration;
-  status.backends = { 1, kUnknownAge * 2, Duration(5) };
+  status.backends = { { 0, 1 }, kUnknownAge * 2, Duration(5) };
   const auto news = Decode(Encode({ header, status }));
   REQUIRE(news);
   const auto& copy = std::get<GatewayStatus>(news->body);
--- a/tests/gateway/knowledge_fleet.h
+++ b/tests/gateway/knowledge_fleet.h
@@ -325,7 +325,7 @@
     }
     node.version = aVersion;
     node.adoptedAt = now_;
-    node.knowledge.OnVersion(aVersion);
+    node.knowledge.OnVersion({ 0, aVersion });
     SendClaim(aNode);
   }
 
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -20,12 +20,12 @@
 
   void Add(const BackendRecord& aRecord, std::uint64_t aRevision)
   {
-    registry.Apply({ aRecord.id, aRevision, aRecord }, now);
+    registry.Apply({ aRecord.id, { 0, aRevision }, aRecord }, now);
   }
 
   void Remove(const std::string& aId, std::uint64_t aRevision)
   {
-    registry.Apply({ aId, aRevision, std::nullopt }, now);
+    registry.Apply({ aId, { 0, aRevision }, std::nullopt }, now);
   }
 
   std::size_t UsableCount() const { return registry.Usable("model").size(); }
@@ -72,7 +72,7 @@
   Add(before, 1);
   CHECK(registry.IsUsable(before));
   const auto events =
-    registry.Apply({ "a", 2, Record("a", "10.0.0.1:1", 2) }, now);
+    registry.Apply({ "a", { 0, 2 }, Record("a", "10.0.0.1:1", 2) }, now);
   REQUIRE(events.size() == 1);
   CHECK(events.front().kind == "restarted");
   CHECK_FALSE(registry.IsUsable(before));
@@ -111,7 +111,7 @@
                   "until it is readable again")
 {
   Add(Record("a", "10.0.0.1:1"), 1);
-  registry.Apply({ "a", 2, std::nullopt, true }, now);
+  registry.Apply({ "a", { 0, 2 }, std::nullopt, true }, now);
   CHECK(UsableCount() == 0);
   Add(Record("a", "10.0.0.1:1"), 3);
   CHECK(UsableCount() == 1);
@@ -123,11 +123,12 @@
 {
   Add(Record("a", "10.0.0.1:1"), 10);
   Add(Record("b", "10.0.0.2:1"), 11);
-  registry.Replace({ 9, {} }, now);
+  registry.Replace({ { 0, 9 }, {} }, now);
   CHECK(UsableCount() == 2);
-  registry.Replace({ 12, { { "b", 11, Record("b", "10.0.0.2:1") } } }, now);
+  registry.Replace(
+    { { 0, 12 }, { { "b", { 0, 11 }, Record("b", "10.0.0.2:1") } } }, now);
   CHECK(UsableCount() == 1);
-  CHECK(registry.Revision() == 12);
+  CHECK(registry.Revision() == StoreRevision{ 0, 12 });
 }
 
 TEST_CASE_FIXTURE(
@@ -135,7 +136,7 @@
   "[BackendRegistry] a snapshot reproduces the registry in another gateway")
 {
   Add(Record("a", "10.0.0.1:1"), 10);
-  registry.Apply({ "u", 11, std::nullopt, true }, now);
+  registry.Apply({ "u", { 0, 11 }, std::nullopt, true }, now);
   BackendRegistry other;
   other.Replace(registry.Snapshot(now), now);
   CHECK(other.Usable("model").size() == 1);
@@ -169,11 +170,11 @@
   Add(record, 5);
   BackendRegistry peer;
   peer.Replace(registry.Snapshot(now), now);
-  peer.Apply({ "a", 9, std::nullopt }, now);
+  peer.Apply({ "a", { 0, 9 }, std::nullopt }, now);
   CHECK(peer.Usable("model").empty());
   registry.OnStoreReconnected(now);
   Remove("a", 9);
-  registry.Apply({ "b", 12, Record("b", "10.0.0.2:1") }, now);
+  registry.Apply({ "b", { 0, 12 }, Record("b", "10.0.0.2:1") }, now);
   peer.Replace(registry.Snapshot(now), now);
   REQUIRE(peer.Usable("model").size() == 1);
   CHECK(peer.Usable("model").front()->id == "b");
@@ -277,4 +278,70 @@
   CHECK(UsableCount() == 0);
 }
 
+// Guards against changes that are missed because a store that came back from a
+// copy gives out revisions again.
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] a smaller revision of a later era is "
+                  "newer")
+{
+  registry.Replace({ { 1, 30 }, { { "a", { 1, 30 }, Record("a", "h:1") } } },
+                   now);
+  registry.Replace({ { 2, 20 }, { { "a", { 2, 20 }, Record("a", "h:2") } } },
+                   now);
+  CHECK(registry.FindByAddress("h:2") != nullptr);
+  CHECK(registry.Revision() == StoreRevision{ 2, 20 });
+  registry.Replace({ { 1, 40 }, {} }, now);
+  registry.Apply({ "a", { 1, 41 }, std::nullopt }, now);
+  CHECK(UsableCount() == 1);
+}
+
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] servers that the copy of a new era lacks "
+                  "have time to register again")
+{
+  registry.Replace({ { 1, 30 },
+                     { { "a", { 1, 29 }, Record("a", "h:1") },
+                       { "b", { 1, 30 }, Record("b", "h:2") } } },
+                   now);
+  registry.Replace({ { 2, 20 }, {} }, now);
+  CHECK(UsableCount() == 2);
+  registry.Apply({ "a", { 2, 21 }, Record("a", "h:1") }, now);
+  now += BackendRegistry::kReregistrationTimeout;
+  registry.Expire(now);
+  REQUIRE(UsableCount() == 1);
+  CHECK(registry.Usable("model").front()->id == "a");
+}
+
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] the copy of a new era neither ends the "
+                  "leaving of a server nor brings its former incarnation back")
+{
+  BackendRecord leaving = Record("a", "h:1", 1);
+  leaving.isDraining = true;
+  registry.Replace({ { 1, 30 },
+                     { { "a", { 1, 29 }, leaving },
+                       { "b", { 1, 30 }, Record("b", "h:2", 5) } } },
+                   now);
+  registry.Replace({ { 2, 20 },
+                     { { "a", { 2, 12 }, Record("a", "h:1", 1) },
+                       { "b", { 2, 13 }, Record("b", "h:2", 4) } } },
+                   now);
+  REQUIRE(UsableCount() == 1);
+  CHECK(registry.IsUsable(Record("b", "h:2", 5)));
+  // The later incarnation registers again, or is gone.
+  SUBCASE("it registers again")
+  {
+    registry.Apply({ "b", { 2, 21 }, Record("b", "h:2", 5) }, now);
+    now += BackendRegistry::kReregistrationTimeout;
+    registry.Expire(now);
+    CHECK(UsableCount() == 1);
+  }
+  SUBCASE("it is gone")
+  {
+    now += BackendRegistry::kReregistrationTimeout;
+    registry.Expire(now);
+    CHECK(UsableCount() == 0);
+  }
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -137,20 +137,35 @@
     R"({"items":[{"key":"op/config","value":"e30=","revision":4},
  {"key":"servers/i-1","value":"e30=","revision":5},
  {"key":"servers/i-2","revision":6,"removed":true}],
- "more-pages":true,"store-revision":9})");
+ "more-pages":true,"store-revision":9})",
+    3);
   REQUIRE(std::holds_alternative<StoreResponse>(decoded));
   const StoreResponse& response = std::get<StoreResponse>(decoded);
-  CHECK(response.revision == 9);
+  CHECK(response.revision == StoreRevision{ 3, 9 });
+
   REQUIRE(response.configuration);
   CHECK(response.configuration->text == "{}");
   REQUIRE(response.backends.size() == 2);
+  CHECK(response.backends[0].revision == StoreRevision{ 3, 5 });
   CHECK(response.backends[0].isUnreadable);
   CHECK_FALSE(response.backends[1].isUnreadable);
   CHECK_FALSE(response.backends[1].record);
   CHECK(response.nextPageAfter == "servers/i-2");
   for (const char* const text :
        { "", "{}", R"({"items":[]})", R"({"store-revision":1})", "[1]" }) {
-    CHECK(std::holds_alternative<DecodeFault>(DecodeStoreResponse(text)));
+    CHECK(std::holds_alternative<DecodeFault>(DecodeStoreResponse(text, 0)));
+  }
+}
+
+TEST_CASE("[Platform] the era of the store is a whole number or none")
+{
+  CHECK(DecodeStoreEra("7") == 7U);
+  CHECK(DecodeStoreEra("18446744073709551615") ==
+        std::numeric_limits<std::uint64_t>::max());
+  for (const char* const text :
+       { "", " 7", "7 ", "-1", "1.5", "0x7", "era", "18446744073709551616" }) {
+    CAPTURE(text);
+    CHECK_FALSE(DecodeStoreEra(text));
   }
 }
 
@@ -302,13 +317,13 @@
     R"("more-pages":false,"store-revision":9})";
   const std::string entry = RegistryEntry();
   REQUIRE(DecodePieceResults(results, 2));
-  REQUIRE(std::holds_alternative<StoreResponse>(DecodeStoreResponse(list)));
+  REQUIRE(std::holds_alternative<StoreResponse>(DecodeStoreResponse(list, 0)));
   for (std::size_t cut = 0; cut < results.size(); ++cut) {
     CHECK_FALSE(DecodePieceResults(results.substr(0, cut), 2));
   }
   for (std::size_t cut = 0; cut < list.size(); ++cut) {
     CHECK(std::holds_alternative<DecodeFault>(
-      DecodeStoreResponse(list.substr(0, cut))));
+      DecodeStoreResponse(list.substr(0, cut), 0)));
   }
   for (std::size_t cut = 0; cut < entry.size(); ++cut) {
     CHECK(std::holds_alternative<DecodeFault>(
@@ -373,7 +388,7 @@
     R"({"items":[{"key":"servers/i-1","value":"e30=","revision":3}],)"
     R"("more-pages":false,"store-revision":9})",
     [&](const std::string& aText) {
-      const auto decoded = DecodeStoreResponse(aText);
+      const auto decoded = DecodeStoreResponse(aText, 0);
       usable += std::holds_alternative<StoreResponse>(decoded) ? 1 : 0;
     });
   CHECK(usable > 0);
--- a/tests/gateway/test_send_permissions.cpp
+++ b/tests/gateway/test_send_permissions.cpp
@@ -35,7 +35,7 @@
       aId,   "model",    "10.0.0.1:" + aId.substr(1), "a", 8,
       false, aStartedMs, "v" + aId.substr(1)
     };
-    registry.Apply({ aId, ++revision, record }, now.steady);
+    registry.Apply({ aId, { 0, ++revision }, record }, now.steady);
   }
 
   /** The record of a server; the registry must list it. */
@@ -75,7 +75,8 @@
       case HoldReason::None:
         return true;
       case HoldReason::NotListed:
-        registry.Apply({ aServer.id, ++revision, std::nullopt }, now.steady);
+        registry.Apply({ aServer.id, { 0, ++revision }, std::nullopt },
+                       now.steady);
         return true;
       case HoldReason::Leaving:
         registry.OnLeaving({ aServer.id, aServer.startedMs, Duration{} },
@@ -164,7 +165,7 @@
   }
   SUBCASE("its entry is removed and comes back")
   {
-    registry.Apply({ server.id, ++revision, std::nullopt }, now.steady);
+    registry.Apply({ server.id, { 0, ++revision }, std::nullopt }, now.steady);
     List(server.id, server.startedMs);
   }
   CHECK(Ask(server) == SendPermission{ HoldReason::Resting, until });
--- a/tests/gateway/test_store_knowledge.cpp
+++ b/tests/gateway/test_store_knowledge.cpp
@@ -217,19 +217,44 @@
 {
   StoreKnowledge knowledge("10.0.0.1:1", 1);
   const Instant begin{ seconds(100) };
-  knowledge.OnVersion(3);
-  const KnowledgeClaim same{ 3, milliseconds(100), milliseconds(100) };
+  knowledge.OnVersion({ 0, 3 });
+  const KnowledgeClaim same{ { 0, 3 }, milliseconds(100), milliseconds(100) };
   knowledge.OnClaim("10.0.0.2:1", same, begin);
   CHECK(knowledge.Age(begin) == kUnknownAge);
   knowledge.OnAnswer("10.0.0.2:1", same, begin, begin + seconds(9));
   CHECK(knowledge.Age(begin + seconds(9)) == seconds(9) + milliseconds(100));
-  const KnowledgeClaim newer{ 4, milliseconds(50), kUnknownAge };
+  const KnowledgeClaim newer{ { 0, 4 }, milliseconds(50), kUnknownAge };
   knowledge.OnAnswer(
     "10.0.0.3:1", newer, begin + seconds(10), begin + seconds(10));
   CHECK(knowledge.Age(begin + seconds(10)) == seconds(10) + milliseconds(100));
-  knowledge.OnVersion(4);
+  knowledge.OnVersion({ 0, 4 });
   CHECK(knowledge.Age(begin + seconds(10)) == milliseconds(50));
   CHECK(knowledge.Source() == "10.0.0.3:1");
 }
 
+// Guards against knowledge that is confirmed by a store that has gone back
+// since: revisions are given out again.
+TEST_CASE("[StoreKnowledge] a peer of an earlier era confirms nothing, and one "
+          "of a later era has a newer version")
+{
+  StoreKnowledge knowledge("10.0.0.1:1", 1);
+  const Instant begin{ seconds(100) };
+  knowledge.OnVersion({ 1, 30 });
+  knowledge.OnRead(begin);
+  REQUIRE(knowledge.FollowedSince() == begin);
+  const std::vector<std::string> peers{ "10.0.0.2:1" };
+  const KnowledgeClaim later{ { 2, 20 }, Duration{}, Duration{} };
+  knowledge.OnClaim(peers.front(), later, begin);
+  CHECK(knowledge.ChooseSource(peers, begin) == peers.front());
+  knowledge.OnVersion({ 2, 20 });
+  CHECK_FALSE(knowledge.FollowedSince());
+  const Instant now = begin + seconds(1);
+  const KnowledgeClaim earlier{ { 1, 10 }, Duration{}, Duration{} };
+  knowledge.OnAnswer(peers.front(), earlier, now, now);
+  CHECK(knowledge.ConfirmedAt() == begin);
+  knowledge.OnAnswer(peers.front(), later, now, now);
+  CHECK(knowledge.ConfirmedAt() == now);
+  CHECK(knowledge.FollowedSince() == now);
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_stream_resume.cpp
+++ b/tests/gateway/test_stream_resume.cpp
@@ -25,13 +25,13 @@
 
   static RegistrySnapshot Registry(const std::vector<std::string>& aVersions)
   {
-    RegistrySnapshot registry{ 1, {} };
+    RegistrySnapshot registry{ { 0, 1 }, {} };
     for (const std::string& version : aVersions) {
       BackendRecord record;
       record.id = "i-" + std::to_string(registry.entries.size());
       record.service = "model";
       record.version = version;
-      registry.entries.push_back({ record.id, 1, record, false });
+      registry.entries.push_back({ record.id, { 0, 1 }, record, false });
     }
     return registry;
   }
