Check numbers of clients and peers before they are used

Cause: BatchQueue::Add makes room for as many results as the request names pieces. Nothing bounds the number on the way; other numbers of clients and peers are cut to 32 bits or added to a clock.

Change: numbers in headers are checked where they are decoded, and answered with 400. A stage has at most as many pieces as handles fit into a header of the configured size (400), and as all its servers could compute in time (503 at once). Owners check jobs of peers; spans of time are limited. So no number that is used can be larger than what it is used for.

--- a/core/gateway/batch_queue.cpp
+++ b/core/gateway/batch_queue.cpp
@@ -110,9 +110,10 @@
   std::iota(state.waiting.rbegin(), state.waiting.rend(), 0U);
   state.missing = aJob.pieces;
   state.job = std::move(aJob);
-  waitingPieces_ += state.waiting.size();
-  ++unorderedJobs_;
+  const std::size_t pieces = state.waiting.size();
   jobs_.emplace(id, std::move(state));
+  waitingPieces_ += pieces;
+  ++unorderedJobs_;
 }
 
 void BatchQueue::Erase(PieceJobId aId)
--- a/drivers/peer/peer_codec.cpp
+++ b/drivers/peer/peer_codec.cpp
@@ -472,6 +472,22 @@
   }
 }
 
+/** No clock overflows by a span of this length. */
+constexpr std::int64_t kMaxSpanUs =
+  Duration(std::chrono::hours(24 * 365 * 10)).count();
+
+/** Limits a span that is added to a clock. */
+Duration ReadSpan(std::int64_t aMicroseconds)
+{
+  return Duration(std::clamp(aMicroseconds, -kMaxSpanUs, kMaxSpanUs));
+}
+
+Duration ReadSpan(std::uint64_t aMicroseconds)
+{
+  return Duration(static_cast<std::int64_t>(
+    std::min<std::uint64_t>(aMicroseconds, kMaxSpanUs)));
+}
+
 StageId Read(const proto::StageId& aFrom)
 {
   return { { aFrom.customer(), aFrom.key() },
@@ -486,7 +502,7 @@
            aFrom.running(),
            aFrom.concurrency(),
            aFrom.is_leaving(),
-           Duration(aFrom.mean_service_us()) };
+           ReadSpan(aFrom.mean_service_us()) };
 }
 
 std::optional<PeerBody> Read(proto::StageRequest& aFrom)
@@ -502,7 +518,7 @@
   request.isRepeatable = aFrom.is_repeatable();
   request.priority = aFrom.priority();
   request.weight = aFrom.weight();
-  request.budget = Duration(aFrom.budget_us());
+  request.budget = ReadSpan(aFrom.budget_us());
   request.requestHash = aFrom.request_hash();
   request.checksum = aFrom.checksum();
   request.input = std::move(*aFrom.mutable_input());
@@ -522,9 +538,9 @@
   reply.id = Read(aFrom.id());
   reply.outcome = static_cast<Outcome>(aFrom.outcome());
   reply.error = static_cast<ErrorKind>(aFrom.error());
-  reply.retryAfter = Duration(aFrom.retry_after_us());
-  reply.serviceTime = Duration(aFrom.service_us());
-  reply.queueTime = Duration(aFrom.queue_us());
+  reply.retryAfter = ReadSpan(aFrom.retry_after_us());
+  reply.serviceTime = ReadSpan(aFrom.service_us());
+  reply.queueTime = ReadSpan(aFrom.queue_us());
   reply.checksum = aFrom.checksum();
   reply.output = std::move(*aFrom.mutable_output());
   reply.load = Read(aFrom.load());
@@ -564,7 +580,7 @@
   reply.isLast = aFrom.is_last();
   reply.forgottenUntil =
     WallTime(std::chrono::milliseconds(aFrom.forgotten_until_ms()));
-  reply.plainKeysWait = Duration(aFrom.plain_keys_wait_us());
+  reply.plainKeysWait = ReadSpan(aFrom.plain_keys_wait_us());
   for (proto::RecordCopy& record : *aFrom.mutable_records()) {
     auto recorded = Read(*record.mutable_reply());
     if (!recorded) {
@@ -595,12 +611,12 @@
 FleetUpdate Read(const proto::FleetNews& aFrom)
 {
   FleetUpdate update{
-    aFrom.round(),       aFrom.zone(),   Duration(aFrom.reader_age_us()),
+    aFrom.round(),       aFrom.zone(),   ReadSpan(aFrom.reader_age_us()),
     aFrom.reader_rank(), aFrom.digest(), {}
   };
   for (const proto::LeavingReplica& replica : aFrom.leaving()) {
     update.leaving.push_back(
-      { replica.name(), Duration(replica.remaining_us()) });
+      { replica.name(), ReadSpan(replica.remaining_us()) });
   }
   return update;
 }
@@ -619,7 +635,7 @@
 /** A negative age would place the event in the future. */
 Duration ReadAge(std::int64_t aMicroseconds)
 {
-  return Duration(std::max<std::int64_t>(0, aMicroseconds));
+  return std::max(Duration{}, ReadSpan(aMicroseconds));
 }
 
 /** A rate that is no positive number leaves the smallest that is served. */
@@ -754,8 +770,8 @@
   request.job.readsResults = aFrom.reads_results();
   request.job.inputs = ToStrings(aFrom.inputs());
   request.job.priority = aFrom.priority();
-  request.dueIn = Duration(aFrom.due_in_us());
-  request.deadlineIn = Duration(aFrom.latest_in_us());
+  request.dueIn = ReadSpan(aFrom.due_in_us());
+  request.deadlineIn = ReadSpan(aFrom.latest_in_us());
   request.job.resultBytes = aFrom.result_bytes();
   request.job.preferredZone = aFrom.preferred_zone();
   request.job.zoneBytes = aFrom.zone_bytes();
@@ -766,7 +782,7 @@
 ExpiringOrigin Read(const proto::StreamOrigin& aFrom)
 {
   return { { aFrom.attempt(), aFrom.service(), aFrom.version() },
-           Duration(aFrom.expires_in_us()) };
+           ReadSpan(aFrom.expires_in_us()) };
 }
 
 StreamOriginNotice Read(const proto::StreamOriginNotice& aFrom)
@@ -781,7 +797,7 @@
 StreamOriginRequest Read(const proto::StreamOriginRequest& aFrom)
 {
   return { aFrom.number(),
-           { aFrom.attempt(), aFrom.service(), Duration(aFrom.max_age_us()) } };
+           { aFrom.attempt(), aFrom.service(), ReadSpan(aFrom.max_age_us()) } };
 }
 
 StreamOriginReply Read(const proto::StreamOriginReply& aFrom)
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/piece_service.h"
 
+#include "core/gateway/piece_limit.h"
 #include "drivers/clock.h"
 #include "drivers/edge/backend_exchange.h"
 #include "platform/backend_response_head.h"
@@ -261,7 +262,18 @@
   const PieceJobId id = aJob.id;
   requesters_[id] = std::move(aRequester);
   Queue* const queue = FindOrCreateQueue(aService);
-  if (!queue) {
+  // A peer of another version may allow more pieces.
+  const bool isTooLarge =
+    queue &&
+    aJob.pieces > MaxPiecesOfStage(state_.routes->Configuration().limits);
+  if (isTooLarge) {
+    state_.log.Write(LogClass::Failure,
+                     "pieces-rejected",
+                     { { "id", aJob.attempt },
+                       { "stage", aJob.stage },
+                       { "pieces", aJob.pieces } });
+  }
+  if (!queue || isTooLarge) {
     PieceJobEnd end{ id, PieceFailure::Error, {} };
     const Requester requester = std::exchange(requesters_[id], {});
     requesters_.erase(id);
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/request_handler.h"
 
+#include "core/gateway/piece_limit.h"
 #include "core/gateway/request_identity.h"
 #include "core/gateway/service_availability.h"
 #include "core/hash.h"
@@ -214,6 +215,10 @@
       return NotAllowed(ErrorKind::UnknownKey, aAttempt.arrivedAt);
     }
   }
+  if (!aAttempt.parameters.malformedHeader.empty() ||
+      HasTooManyPieces(aAttempt)) {
+    return ErrorKind::BadRequest;
+  }
   const RouteTarget* const routeTarget =
     ChooseTarget(*aAttempt.route, Checksum(aAttempt.parameters.id));
   aAttempt.service = routeTarget
@@ -253,6 +258,33 @@
   return std::nullopt;
 }
 
+bool RequestHandler::HasTooManyPieces(const Attempt& aAttempt)
+{
+  const std::uint32_t most =
+    MaxPiecesOfStage(aAttempt.routeTable->Configuration().limits);
+  return std::ranges::any_of(
+    aAttempt.parameters.pieces,
+    [&](std::uint32_t aPieces) { return aPieces > most; });
+}
+
+bool RequestHandler::CanComputePieces(const Attempt& aAttempt) const
+{
+  const Duration time = aAttempt.firstPartDeadline - Now().steady;
+  const auto& stages = aAttempt.route->stages;
+  for (std::uint32_t stage = 0; stage < stages.size(); ++stage) {
+    const std::string& service = stages[stage].service;
+    const BackendServiceSpec* const spec =
+      aAttempt.routeTable->FindService(service);
+    const std::size_t replicas = state_.registry.Usable(service).size();
+    if (spec && spec->batches &&
+        aAttempt.plan.PiecesOf(stage) >
+          PiecesWithin(*spec->batches, replicas, time)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 asio::awaitable<std::optional<ErrorKind>> RequestHandler::FindResumeTarget(
   Attempt& aAttempt)
 {
@@ -399,7 +431,9 @@
     [&](std::uint32_t aStage) { return StageTimeOf(aAttempt, aStage, true); });
   const Duration remainingTime =
     aAttempt.firstPartDeadline - kTypicalFirstEventTime - Now().steady;
-  if (requiredTime < remainingTime || requiredTime.count() == 0) {
+  const bool isInTime =
+    requiredTime < remainingTime || requiredTime.count() == 0;
+  if (isInTime && CanComputePieces(aAttempt)) {
     return std::nullopt;
   }
   return RetryAfter(aAttempt);
@@ -638,6 +672,7 @@
         aAttempt.routeTable ? aAttempt.routeTable->Configuration().version
                             : 0 },
       { "registry", TextOf(state_.registry.Revision()) },
+      { "malformed", aAttempt.parameters.malformedHeader },
       { "trait", aAttempt.refusedTrait },
       { "store-age", Now().steady - state_.lastStoreResponseAt },
       { "configuration-age", state_.configurationKnowledge.Age(Now().steady) },
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -78,6 +78,11 @@
   boost::asio::awaitable<bool> RefuseIfHeld(Attempt& aAttempt);
   /** Estimates which model replica will serve the attempt, and when. */
   void EstimateReplica(Attempt& aAttempt) const;
+  /** Whether a stage has more pieces than the configuration allows. */
+  static bool HasTooManyPieces(const Attempt& aAttempt);
+  /** Whether all replicas of each stage together could compute its pieces
+   * before the deadline, if they had nothing else to do. */
+  bool CanComputePieces(const Attempt& aAttempt) const;
   /** Returns the time for `Retry-After` if the stages would end too late. */
   std::optional<Duration> CheckDeadline(const Attempt& aAttempt) const;
   /** Expected time until the queues of the remaining stages are empty. */
