Contain exceptions in the task that throws them

Cause: what peers send, timers and all else that is posted to the event loop ran without a guard; an exception left io_context::run and ended the process. Coroutines were spawned detached, which drops the exception: a task that must go on, such as the rounds of peers, would have ended without a line in the log.

Change: TaskGuard runs the loop and spawns all tasks of a gateway. It logs 'task-failed' with task and reason, counts gypsum_task_failures_total, and starts endless tasks again. What fails is answered: a client gets 500, which promises nothing, or sees its response cut; a requester of pieces gets a failure, so that it does not offer the job to the next owner; a batch ends as lost, a stage as failed. What others wait for ends with its scope.

--- a/drivers/edge/client_connection.cpp
+++ b/drivers/edge/client_connection.cpp
@@ -79,6 +79,7 @@
 {
   isIdle_ = true;
   isChunked_ = false;
+  hasBegunResponse_ = false;
   if (hasDisconnected_) {
     co_return RequestReadResult::Closed;
   }
@@ -163,6 +164,7 @@
   response.body() = std::move(aResponse.body);
   response.content_length(response.body().size());
   SetFraming(response.base());
+  hasBegunResponse_ = true;
   stream_.expires_after(kWriteTimeout);
   boost::system::error_code error;
   co_await http::async_write(
@@ -190,6 +192,7 @@
     response.chunked(true);
   }
   SetFraming(response.base());
+  hasBegunResponse_ = true;
   http::response_serializer<http::empty_body> serializer(response);
   stream_.expires_after(kWriteTimeout);
   boost::system::error_code error;
--- a/drivers/edge/client_connection.h
+++ b/drivers/edge/client_connection.h
@@ -79,6 +79,8 @@
   void CloseAfterResponse() { keepsAlive_ = false; }
   /** Ends the reading of a request that has begun to arrive. */
   void EndReading();
+  /** Whether some byte of a response to this request may have been written. */
+  bool HasBegunResponse() const { return hasBegunResponse_; }
   /** Whether no request is being read or handled. */
   bool IsIdle() const { return isIdle_; }
   /** Resets the connection, so that the client sees a started response as
@@ -108,6 +110,7 @@
   bool isReading_ = false; ///< A request has begun to arrive.
   bool isReadingEnded_ = false;
   bool isChunked_ = false;
+  bool hasBegunResponse_ = false;
 };
 
 using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
--- a/drivers/edge/edge_listener.cpp
+++ b/drivers/edge/edge_listener.cpp
@@ -64,9 +64,21 @@
         asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
-    auto connection = std::make_shared<ClientConnection>(std::move(socket));
+    StartSession(std::move(socket));
+  }
+}
+
+void EdgeListener::StartSession(asio::ip::tcp::socket aSocket)
+{
+  try {
+    auto connection = std::make_shared<ClientConnection>(std::move(aSocket));
     connections_.insert(connection);
     asio::co_spawn(loop_, Run(std::move(connection)), asio::detached);
+  } catch (const std::exception& error) {
+    // The listener goes on; the client sees its connection closed.
+    Log(Severity::Error,
+        kComponent,
+        std::string("session not started: ") + error.what());
   }
 }
 
--- a/drivers/edge/edge_listener.h
+++ b/drivers/edge/edge_listener.h
@@ -47,6 +47,7 @@
 
 private:
   boost::asio::awaitable<void> AcceptLoop();
+  void StartSession(boost::asio::ip::tcp::socket aSocket);
   boost::asio::awaitable<void> Run(ClientConnectionPtr aConnection);
 
   boost::asio::io_context& loop_;
--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -1,9 +1,8 @@
 #include "servers/gateway/crash_detector.h"
 
+#include "core/scope_exit.h"
 #include "drivers/clock.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -95,7 +94,7 @@
   if (!probe) {
     probe = std::make_shared<asio::steady_timer>(
       loop_, asio::steady_timer::time_point::max());
-    asio::co_spawn(loop_, Probe(aBackend), asio::detached);
+    tasks_.Spawn("crash-probe", Probe(aBackend));
   }
 }
 
@@ -130,8 +129,7 @@
     return;
   }
   sends_.OnGivenUp(aNumber, Now().steady);
-  asio::co_spawn(
-    loop_, ProbeAfterClientLeft(aNumber, sent.backend), asio::detached);
+  tasks_.Spawn("crash-probe", ProbeAfterClientLeft(aNumber, sent.backend));
 }
 
 asio::awaitable<void> CrashDetector::ProbeAfterClientLeft(SendNumber aNumber,
@@ -153,12 +151,17 @@
 asio::awaitable<void> CrashDetector::Probe(BackendPtr aBackend)
 {
   const BackendKey key = UnansweredSends::IncarnationOf(*aBackend);
-  const Liveness liveness =
-    co_await ProbeLiveness(loop_.get_executor(), aBackend->address);
-  handlers_.onProbe(liveness);
-  const auto probe = probes_.find(key);
-  probe->second->cancel();
-  probes_.erase(probe);
+  Liveness liveness{};
+  {
+    // Requests wait for the end of the probe, however it ends.
+    const ScopeExit end([this, &key] {
+      const auto probe = probes_.find(key);
+      probe->second->cancel();
+      probes_.erase(probe);
+    });
+    liveness = co_await ProbeLiveness(loop_.get_executor(), aBackend->address);
+    handlers_.onProbe(liveness);
+  }
   for (const SendNumber number : sends_.EndedAt(key)) {
     handlers_.onEnd(number);
   }
@@ -187,10 +190,13 @@
     co_return;
   }
   const Instant askedAt = Now().steady;
-  ProbeRequest question = handlers_.makeQuestion(*aBackend);
-  const Liveness liveness = co_await ProbeResponse(
-    loop_.get_executor(), aBackend->address, std::move(question));
-  asked_.erase(key);
+  Liveness liveness{};
+  {
+    const ScopeExit end([this, &key] { asked_.erase(key); });
+    ProbeRequest question = handlers_.makeQuestion(*aBackend);
+    liveness = co_await ProbeResponse(
+      loop_.get_executor(), aBackend->address, std::move(question));
+  }
   handlers_.onProbe(liveness);
   if (liveness == Liveness::Alive) {
     sends_.OnResponse(*aBackend, askedAt, Now().steady);
@@ -234,7 +240,7 @@
     return;
   }
   for (const BackendPtr& server : sends_.ServersById(aBackend)) {
-    asio::co_spawn(loop_, Ask(server, "removed"), asio::detached);
+    tasks_.Spawn("crash-question", Ask(server, "removed"));
   }
 }
 
@@ -260,7 +266,7 @@
   lastExpiredAt_ = now;
   ReportSilences();
   for (const BackendPtr& server : sends_.TakeUnexplained(now)) {
-    asio::co_spawn(loop_, Ask(server, "silent"), asio::detached);
+    tasks_.Spawn("crash-question", Ask(server, "silent"));
   }
   sends_.Expire(now);
 }
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/unanswered_sends.h"
 #include "drivers/edge/liveness_probe.h"
+#include "servers/gateway/task_guard.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -66,8 +67,9 @@
     QuestionMaker makeQuestion;
   };
 
-  CrashDetector(boost::asio::io_context& aLoop, Handlers aHandlers)
-    : loop_(aLoop)
+  CrashDetector(TaskGuard& aTasks, Handlers aHandlers)
+    : tasks_(aTasks)
+    , loop_(aTasks.Loop())
     , handlers_(std::move(aHandlers))
   {
   }
@@ -126,6 +128,7 @@
                    std::string_view aEvidence,
                    bool aWasSilent);
 
+  TaskGuard& tasks_;
   boost::asio::io_context& loop_;
   Handlers handlers_;
   UnansweredSends sends_;
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -3,8 +3,6 @@
 #include "drivers/clock.h"
 #include "platform/client_request.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -49,7 +47,7 @@
 CrashService::CrashService(GatewayState& aState, PeerExchange& aPeers)
   : state_(aState)
   , peers_(aPeers)
-  , detector_(aState.loop, MakeHandlers())
+  , detector_(aState.tasks, MakeHandlers())
   , rememberedSince_(Now().steady)
   , random_(static_cast<std::uint_fast32_t>(aState.self.incarnation))
 {
@@ -330,9 +328,9 @@
       if (after.contains(trait.name) &&
           survivals_.HasSince(
             SurvivalName(trait.name, crash.version), previousAt, now)) {
-        asio::co_spawn(state_.loop,
-                       AnswerForTrait(trait.name, crash.version, previousAt),
-                       asio::detached);
+        state_.tasks.Spawn(
+          "trait-answer",
+          AnswerForTrait(trait.name, crash.version, previousAt));
       }
     }
   }
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -3,8 +3,6 @@
 #include "drivers/clock.h"
 #include "kernel/signal_block.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -167,10 +165,10 @@
   knowledge_.Start();
   pieces_.Start();
   store_.Start();
-  asio::co_spawn(loop_, HandleSignals(), asio::detached);
-  asio::co_spawn(loop_, Housekeeping(), asio::detached);
+  state_.tasks.SpawnEndless("signals", [this] { return HandleSignals(); });
+  state_.tasks.SpawnEndless("housekeeping", [this] { return Housekeeping(); });
   SetSignalMask(aMask);
-  loop_.run();
+  state_.tasks.RunLoop();
   // A signal after the last request has no handler any more.
   BlockSignals();
   peers_.Stop();
@@ -369,7 +367,7 @@
   peers_.AnnounceStop();
   origins_.HandOver();
   pieces_.HandOver(BatchQueue::Leaving::NotBegun);
-  asio::co_spawn(loop_, Drain(), asio::detached);
+  state_.tasks.SpawnEndless("drain", [this] { return Drain(); });
 }
 
 asio::awaitable<void> GatewayProcess::Drain()
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -18,6 +18,7 @@
 #include "drivers/edge/backend_pool.h"
 #include "drivers/event_log.h"
 #include "servers/gateway/gateway_metrics.h"
+#include "servers/gateway/task_guard.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -82,6 +83,7 @@
   GatewayRetryBudget retryBudget;
   BackendPool pool;
   GatewayMetrics metrics;
+  TaskGuard tasks{ loop, log, metrics };
   std::minstd_rand random{ static_cast<std::uint_fast32_t>(self.incarnation) };
   Instant lastStoreResponseAt{};    ///< Last successful response of the store.
   std::optional<StopSchedule> stop; ///< Empty unless stopping.
--- a/servers/gateway/knowledge_service.cpp
+++ b/servers/gateway/knowledge_service.cpp
@@ -3,8 +3,6 @@
 #include "core/gateway/peer_liveness.h"
 #include "drivers/clock.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -42,7 +40,7 @@
 
 void KnowledgeService::Start()
 {
-  asio::co_spawn(state_.loop, RoundLoop(), asio::detached);
+  state_.tasks.SpawnEndless("knowledge-rounds", [this] { return RoundLoop(); });
 }
 
 asio::awaitable<void> KnowledgeService::RoundLoop()
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -5,8 +5,6 @@
 #include "drivers/clock.h"
 #include "kernel/kernel.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -65,7 +63,7 @@
   });
   Kernel unused;
   transport_.Start(unused);
-  asio::co_spawn(state_.loop, RoundLoop(), asio::detached);
+  state_.tasks.SpawnEndless("peer-rounds", [this] { return RoundLoop(); });
 }
 
 void PeerExchange::Stop()
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -1,14 +1,13 @@
 #include "servers/gateway/piece_service.h"
 
 #include "core/gateway/piece_limit.h"
+#include "core/scope_exit.h"
 #include "drivers/clock.h"
 #include "drivers/edge/backend_exchange.h"
 #include "platform/backend_response_head.h"
 #include "platform/piece_calls.h"
 #include "servers/gateway/send_gate.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -55,7 +54,7 @@
 
 void PieceService::Start()
 {
-  asio::co_spawn(state_.loop, ReleaseLoop(), asio::detached);
+  state_.tasks.SpawnEndless("release-loop", [this] { return ReleaseLoop(); });
 }
 
 PieceService::Queue* PieceService::FindOrCreateQueue(
@@ -166,6 +165,7 @@
   const Instant deadline = aJob.deadline;
   auto pending = std::make_shared<PendingJob>(state_.loop);
   pendingJobs_[id.number] = pending;
+  const ScopeExit erase([this, id] { pendingJobs_.erase(id.number); });
   const Incarnation ownerIncarnation = peers_.IncarnationOf(aOwner);
   const Instant begin = Now().steady;
   const bool isRemote = !aOwner.empty();
@@ -208,7 +208,6 @@
       asio::redirect_error(asio::use_awaitable, ignored));
     aCancellation.ClearOnCancel();
   }
-  pendingJobs_.erase(id.number);
   if (pending->end) {
     if (pending->end->failure == PieceFailure::Moved) {
       peers_.OnPeerStopping(aOwner, ownerIncarnation);
@@ -304,8 +303,7 @@
   while (auto batch =
            queue->queue.Next(replicas, Now().steady, &state_.permissions)) {
     const auto send = Follow(aService, queue->queue, *batch);
-    asio::co_spawn(
-      state_.loop, RunBatch(aService, std::move(*batch), send), asio::detached);
+    state_.tasks.Spawn("batch", RunBatch(aService, std::move(*batch), send));
     mustWait = AdmitJobs(aService, queue->queue);
   }
   DeliverFinishedJobs(*queue);
@@ -498,7 +496,12 @@
   const LimitPlace place =
     co_await limits_.Acquire(aBatch.backend, UrgencyOf(aService, aBatch));
   if (place != LimitPlace::Refused) {
-    end = co_await CallReplica(aService, aBatch, aSend, place, results);
+    try {
+      end = co_await CallReplica(aService, aBatch, aSend, place, results);
+    } catch (...) {
+      state_.tasks.Report("batch", std::current_exception());
+      end = BatchEnd::Lost;
+    }
   }
   const bool isLate = Now().steady >= aBatch.abandonAt;
   ReportEnd(aSend, end, isLate);
@@ -560,9 +563,17 @@
         { request->service,
           std::min(request->job.priority, kPriorityClasses - 1),
           ExpectedLocalWait(request->service, request->job.priority) } });
-    Submit(request->service,
-           std::move(request->job),
-           { std::move(aRoute), requesterIncarnation });
+    const PieceJobId id = request->job.id;
+    try {
+      Submit(request->service, request->job, { aRoute, requesterIncarnation });
+    } catch (...) {
+      // The requester would offer the job to the next owner.
+      state_.tasks.Report("piece-request", std::current_exception());
+      requesters_.erase(id);
+      peers_.SendBack(aRoute,
+                      requesterIncarnation,
+                      PieceReply{ { id, PieceFailure::Error, {} } });
+    }
     return;
   }
   if (const auto* const accepted = std::get_if<PieceAccepted>(&aBody)) {
@@ -650,9 +661,9 @@
       // The results of a backend server that leaves expire with it, and nothing
       // else needs their room.
       if (permission.IsGranted()) {
-        asio::co_spawn(state_.loop,
-                       SendReleaseCall(std::move(backend), std::move(handles)),
-                       asio::detached);
+        state_.tasks.Spawn(
+          "release-call",
+          SendReleaseCall(std::move(backend), std::move(handles)));
       } else if (permission.EndsByItself()) {
         KeepForLater(address, std::move(handles));
       }
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -8,8 +8,6 @@
 #include "platform/piece_calls.h"
 #include "servers/gateway/send_loop.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -117,14 +115,36 @@
       co_await aClient->WriteResponse(FailureResponse(ErrorKindOf(result), {}));
       co_return;
     }
-    co_await HandleRequest(aClient);
+    std::exception_ptr error;
+    try {
+      co_await HandleRequest(aClient);
+    } catch (...) {
+      error = std::current_exception();
+    }
     aClient->StopWatching();
+    if (error) {
+      co_await FailByException(aClient, error);
+      co_return;
+    }
     if (!aClient->KeepsAlive() || aClient->HasDisconnected()) {
       co_return;
     }
   }
 }
 
+asio::awaitable<void> RequestHandler::FailByException(
+  ClientConnectionPtr aClient,
+  std::exception_ptr aError)
+{
+  state_.tasks.Report("request", aError);
+  if (aClient->HasBegunResponse()) {
+    aClient->Abort();
+    co_return;
+  }
+  // Nothing is known of what was sent.
+  co_await aClient->WriteResponse(FailureResponse(ErrorKind::Internal, {}));
+}
+
 asio::awaitable<void> RequestHandler::HandleRequest(ClientConnectionPtr aClient)
 {
   Attempt attempt;
@@ -576,32 +596,39 @@
       auto cancellation = std::make_shared<CancellationToken>();
       progress->cancellations.push_back(cancellation);
       ++progress->running;
-      asio::co_spawn(
-        state_.loop,
-        [](PieceService& aPieces,
-           std::string aService,
-           PieceJob aJob,
-           std::uint32_t aStage,
-           std::shared_ptr<CancellationToken> aCancellation,
-           std::shared_ptr<Progress> aProgress)
-          -> asio::awaitable<void> {
-          PieceJobEnd end = co_await aPieces.ComputePieces(
-            aService, std::move(aJob), *aCancellation);
-          --aProgress->running;
-          if (aCancellation->IsCancelled()) {
-            // The request has ended, so its results are not needed.
-            aPieces.Release(aService, std::move(end.handles));
-            co_return;
-          }
-          aProgress->finished.emplace_back(aStage, std::move(end));
-          aProgress->changed.cancel();
-        }(pieces_,
-          aAttempt.plan.SpecOf(stage).service,
-          PieceJobFor(aAttempt, stage),
-          stage,
-          cancellation,
-          progress),
-        asio::detached);
+      state_.tasks.Spawn("stage",
+                         [](TaskGuard& aTasks,
+                            PieceService& aPieces,
+                            std::string aService,
+                            PieceJob aJob,
+                            std::uint32_t aStage,
+                            std::shared_ptr<CancellationToken> aCancellation,
+                            std::shared_ptr<Progress> aProgress)
+                           -> asio::awaitable<void> {
+                           PieceJobEnd end{ aJob.id, PieceFailure::Error, {} };
+                           try {
+                             end = co_await aPieces.ComputePieces(
+                               aService, std::move(aJob), *aCancellation);
+                           } catch (...) {
+                             aTasks.Report("stage", std::current_exception());
+                           }
+                           --aProgress->running;
+                           if (aCancellation->IsCancelled()) {
+                             // The request has ended, so its results are not
+                             // needed.
+                             aPieces.Release(aService, std::move(end.handles));
+                             co_return;
+                           }
+                           aProgress->finished.emplace_back(aStage,
+                                                            std::move(end));
+                           aProgress->changed.cancel();
+                         }(state_.tasks,
+                           pieces_,
+                           aAttempt.plan.SpecOf(stage).service,
+                           PieceJobFor(aAttempt, stage),
+                           stage,
+                           cancellation,
+                           progress));
     }
     aAttempt.cancellation.SetOnCancel(
       [progress] { progress->changed.cancel(); });
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <exception>
 #include <functional>
 #include <optional>
 #include <set>
@@ -58,6 +59,9 @@
   void EndAttempts(Predicate aMustEnd);
   /** Whether its stages would end too late for a send before the stop. */
   bool CannotEndBeforeStop(const Attempt& aAttempt) const;
+  /** Ends a request whose handling has thrown. */
+  boost::asio::awaitable<void> FailByException(ClientConnectionPtr aClient,
+                                               std::exception_ptr aError);
   boost::asio::awaitable<void> HandleRequest(ClientConnectionPtr aClient);
   /** Fills in the attempt; returns the error if the request is refused. */
   std::optional<ErrorKind> Admit(Attempt& aAttempt);
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -1,9 +1,8 @@
 #include "servers/gateway/store_follower.h"
 
+#include "core/scope_exit.h"
 #include "drivers/clock.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -60,8 +59,11 @@
 
 void StoreFollower::Start()
 {
-  asio::co_spawn(state_.loop, Follow(StorePart::Configuration), asio::detached);
-  asio::co_spawn(state_.loop, Follow(StorePart::Backends), asio::detached);
+  for (const StorePart part :
+       { StorePart::Configuration, StorePart::Backends }) {
+    state_.tasks.SpawnEndless("store-follower",
+                              [this, part] { return Follow(part); });
+  }
 }
 
 void StoreFollower::SetReading(StorePart aPart, bool aIsReading)
@@ -341,18 +343,18 @@
   isListRequested_ = true;
   if (!isListing_) {
     isListing_ = true;
-    asio::co_spawn(state_.loop, ListOnRequest(), asio::detached);
+    state_.tasks.Spawn("store-list", ListOnRequest());
   }
 }
 
 asio::awaitable<void> StoreFollower::ListOnRequest()
 {
+  const ScopeExit end([this] { isListing_ = false; });
   while (isListRequested_) {
     isListRequested_ = false;
     StoreRevision ignored;
     co_await List(StorePart::Backends, ignored);
   }
-  isListing_ = false;
 }
 
 } // namespace gypsum
