Give up a job of pieces with which two owners ended

Cause: ComputePieces counts owners that were lost in one way, whether they are slow or their processes have ended.

Change: OfferedOwners, a pure class, decides who computes a job after owners were lost with it. Two that ended make it fail as not run; silent ones lead to the own gateway as before. So whatever ends a process is not handed on to a third.

Limits: an owner counts as ended once it is known to be gone or to have started again; one that ends before it accepts the job is taken for silent at first.

--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/piece_service.h"
 
+#include "core/gateway/offered_owners.h"
 #include "core/gateway/piece_limit.h"
 #include "core/scope_exit.h"
 #include "drivers/clock.h"
@@ -25,8 +26,6 @@
 constexpr Duration kMinAcceptTimeout = std::chrono::milliseconds(150);
 /** Of an owner under load; about the time of a few calls. */
 constexpr Duration kMaxAcceptTimeout = std::chrono::milliseconds(1'000);
-/** Owners that do not answer, until a gateway computes a job itself. */
-constexpr std::size_t kMaxSilentOwners = 2;
 /** How often a pending job checks whether the owner is alive. */
 constexpr Duration kOwnerCheckInterval = std::chrono::milliseconds(150);
 /** Interval at which results are released in groups. */
@@ -134,18 +133,26 @@
   CancellationToken& aCancellation)
 {
   const Instant begin = Now().steady;
-  std::vector<std::string> silentOwners;
+  OfferedOwners owners;
   while (!aCancellation.IsCancelled() && Now().steady < aJob.deadline) {
-    // Of all gateways only the next owner takes over: calls from several queues
-    // would find the servers full.
+    const OfferedOwners::Next next = owners.Choose();
+    if (next == OfferedOwners::Next::None) {
+      state_.log.Write(LogClass::Failure,
+                       "pieces-given-up",
+                       { { "id", aJob.attempt },
+                         { "stage", aJob.stage },
+                         { "owner", owners.Last() } });
+      co_return PieceJobEnd{ aJob.id, PieceFailure::Error, {} };
+    }
     const std::string owner =
-      silentOwners.empty() ? peers_.QueueOwnerOf(aService)
-      : silentOwners.size() < kMaxSilentOwners
-        ? peers_.QueueOwnerWithout(aService, silentOwners.back())
+      next == OfferedOwners::Next::Owner ? peers_.QueueOwnerOf(aService)
+      : next == OfferedOwners::Next::OwnerAfterLast
+        ? peers_.QueueOwnerWithout(aService, owners.Last())
         : "";
+    const Incarnation incarnation = peers_.IncarnationOf(owner);
     auto end = co_await ComputeAt(owner, aService, aJob, aCancellation);
     if (!end) {
-      silentOwners.push_back(owner);
+      owners.OnLost(owner, !peers_.IsLive(owner, incarnation));
     } else if (end->failure != PieceFailure::Moved) {
       state_.metrics.RecordStageWait(aService, Now().steady - begin);
       co_return std::move(*end);
