Keep a silent server unless the request can go on elsewhere

Cause: NextEventDeadline gave up after 700 ms by the kind of the route and the number of ended sends, CanSendMore then found that nothing can be sent any more. Two answers to one question.

Evidence: with the old binary streams are cut late in a stop, with a lone server and without retry budget, and go on with other servers and budget.

Change: FindSendBar is the one decision, pure and with reasons. A silent server is given up only while it says that the request can go on; it is asked again ten times a second, so that a stream leaves once it can. Where it can't, the log says why ('server-silent') and the server keeps the stream until the deadline or the end of the grace. So no stream is cut for silence alone.

--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -23,8 +23,6 @@
 constexpr std::size_t kMaxSkippedBytes = 65'536;
 /** Responses to other attempts that are skipped on one connection. */
 constexpr int kMaxSkippedResponses = 2;
-/** No send starts with less time left than this. */
-constexpr Duration kMinSendTime = std::chrono::milliseconds(20);
 /** No request waits for a held server if less time than this would be left. */
 constexpr Duration kMinHeldSendTime = std::chrono::milliseconds(150);
 /** Minimum time without an event until another replica resumes a stream. */
@@ -114,12 +112,13 @@
 {
 }
 
-std::optional<ChosenReplica> SendLoop::Choose() const
+std::optional<ChosenReplica> SendLoop::Choose(
+  std::span<const std::string> aExcluded) const
 {
   const BackendServiceSpec& service = *attempt_.service;
   ChoiceCriteria criteria;
   criteria.zone = state_.settings.zone;
-  criteria.excluded = triedReplicas_;
+  criteria.excluded = aExcluded;
   criteria.version = attempt_.RequiredVersion();
   criteria.excludedVersions = excludedVersions_;
   criteria.permissions = &state_.permissions;
@@ -178,45 +177,94 @@
   return headers;
 }
 
+SendOutlook SendLoop::OutlookAfter(std::uint32_t aSends,
+                                   std::span<const std::string> aExcluded)
+{
+  const Instant now = Now().steady;
+  SendOutlook outlook;
+  outlook.hasClientLeft = attempt_.cancellation.IsCancelled();
+  outlook.isStopping = !state_.MaySend(now);
+  outlook.areInputsReleased = areInputsReleased_;
+  outlook.sends = aSends;
+  outlook.maxSends = std::max(1U, attempt_.route->maxReplicas);
+  outlook.timeLeft = attempt_.responseDeadline - now;
+  outlook.hasServer = Choose(aExcluded).has_value() || TryHeldAt().has_value();
+  outlook.retriesLeft =
+    state_.retryBudget.Remaining(attempt_.service->name, now);
+  return outlook;
+}
+
 bool SendLoop::CanSendMore(Instant aNow)
 {
-  return !attempt_.cancellation.IsCancelled() && state_.MaySend(aNow) &&
-         !areInputsReleased_ &&
-         sendCount_ < std::max(1U, attempt_.route->maxReplicas) &&
-         attempt_.responseDeadline - aNow > kMinSendTime &&
-         (Choose().has_value() || TryHeldAt().has_value()) &&
+  return FindSendBar(OutlookAfter(sendCount_, triedReplicas_)) ==
+           SendBar::None &&
          (sendCount_ == 0 ||
           state_.retryBudget.Take(attempt_.service->name, aNow));
 }
 
-Instant SendLoop::ResponseStartDeadline(const ChosenReplica& aChoice) const
+bool SendLoop::MayLeaveSilent()
 {
-  const Instant now = Now().steady;
-  const bool canRetry = sendCount_ < attempt_.route->maxReplicas;
-  if (!canRetry || attempt_.route->repeatability == Repeatability::AtMostOnce) {
-    return attempt_.responseDeadline;
+  if (!hasResponseBegun_ &&
+      attempt_.route->repeatability == Repeatability::AtMostOnceStream) {
+    // It gets a failure in time for its client to make another attempt.
+    return true;
+  }
+  std::vector<std::string> excluded = triedReplicas_;
+  excluded.push_back(currentReplica_->backend->id);
+  SendOutlook outlook = OutlookAfter(sendCount_ + 1, excluded);
+  outlook.hasSuspectTrait =
+    crashes_.Decide(attempt_.MakeTraitQuestion()).step == TraitStep::Refuse;
+  const SendBar bar = FindSendBar(outlook);
+  const NextStep step = DecideNextStep(
+    { attempt_.route->repeatability,
+      hasResponseBegun_ ? SendFailure::Interrupted : SendFailure::Lost,
+      true,
+      hasResponseBegun_,
+      bar == SendBar::None });
+  if (step == NextStep::Retry || step == NextStep::Resume) {
+    return true;
+  }
+  if (bar != std::exchange(silenceBar_, bar)) {
+    state_.log.Write(LogClass::Failure,
+                     "server-silent",
+                     { { "id", attempt_.parameters.id },
+                       { "backend", currentReplica_->backend->id },
+                       { "kept-for", NameOf(bar) },
+                       { "events", splitter_.Events() - eventsBeforeSend_ },
+                       { "left", attempt_.responseDeadline - Now().steady } });
+  }
+  return false;
+}
+
+void SendLoop::ExpectWithin(std::optional<Duration> aPatience)
+{
+  if (aPatience) {
+    silence_->Expect(*aPatience);
+  } else {
+    silence_->Stop();
   }
+}
+
+std::optional<Duration> SendLoop::ResponseStartPatience(
+  const ChosenReplica& aChoice) const
+{
   if (IsStream(attempt_.route->repeatability)) {
-    return std::min(attempt_.responseDeadline,
-                    now + aChoice.expected * kFirstPartTimeoutFactor +
-                      kFirstPartTimeoutExtra);
+    return aChoice.expected * kFirstPartTimeoutFactor + kFirstPartTimeoutExtra;
+  }
+  if (attempt_.route->repeatability == Repeatability::AtMostOnce) {
+    return std::nullopt;
   }
   // Half of the remaining time is kept for a retry at another replica.
-  return now + (attempt_.responseDeadline - now) / 2;
+  return (attempt_.responseDeadline - Now().steady) / 2;
 }
 
-Instant SendLoop::NextEventDeadline() const
+std::optional<Duration> SendLoop::NextEventPatience() const
 {
-  const bool canResume =
-    attempt_.route->repeatability == Repeatability::ResumableStream &&
-    sendCount_ < attempt_.route->maxReplicas;
-  if (!canResume) {
-    return attempt_.responseDeadline;
+  if (attempt_.route->repeatability != Repeatability::ResumableStream) {
+    return std::nullopt;
   }
-  return std::min(attempt_.responseDeadline,
-                  Now().steady +
-                    std::max(kMinEventTimeout,
-                             attempt_.route->gapTarget * kEventTimeoutGaps));
+  return std::max(kMinEventTimeout,
+                  attempt_.route->gapTarget * kEventTimeoutGaps);
 }
 
 std::optional<Instant> SendLoop::TryHeldAt() const
@@ -281,7 +329,7 @@
     }
     excludedVersions_ = std::move(decision.excludedVersions);
     chosenAt_ = Now().steady;
-    const auto choice = Choose();
+    const auto choice = Choose(triedReplicas_);
     LimitPlace place = LimitPlace::NotNeeded;
     if (choice && state_.limits.Find(*choice->backend)) {
       place = co_await limits_.Acquire(choice->backend, attempt_.priority);
@@ -480,7 +528,10 @@
       }
     });
   });
+  silence_.emplace(state_.loop, exchange, [this] { return MayLeaveSilent(); });
+  silenceBar_ = SendBar::None;
   SendResult result = co_await ReadResponse(exchange, aChoice);
+  silence_.reset();
   *isSending = false;
   refusalTimer_.cancel();
   fetchTimer_.cancel();
@@ -500,11 +551,14 @@
   const ChosenReplica& aChoice)
 {
   for (int skipped = 0;; ++skipped) {
+    ExpectWithin(ResponseStartPatience(aChoice));
     const ExchangeState readState =
-      co_await aExchange.ReadHead(ResponseStartDeadline(aChoice));
+      co_await aExchange.ReadHead(attempt_.responseDeadline);
+    silence_->Stop();
     if (readState != ExchangeState::Ok) {
       responseEnd_.connection = NameOf(aExchange.GetConnectionEnd());
-      const bool isUnresponsive = readState == ExchangeState::TimedOut;
+      const bool isUnresponsive =
+        readState == ExchangeState::TimedOut || silence_->HasGivenUp();
       co_return SendResult{
         SendFailure::Lost,
         isUnresponsive ? SendOutcome::Unreachable : BrokenOutcome(aExchange),
@@ -664,15 +718,16 @@
   const EdgeResponse clientHead{ aHead.status,
                                  FieldsForClient(aExchange.GetHead()),
                                  "" };
-  // Bytes without an event don't move the deadline.
-  Instant deadline = ResponseStartDeadline(*currentReplica_);
-  std::uint64_t eventsSeen = splitter_.Events();
+  ExpectWithin(ResponseStartPatience(*currentReplica_));
   for (;;) {
-    const BodyPart part = co_await aExchange.ReadSome(deadline);
+    const BodyPart part =
+      co_await aExchange.ReadSome(attempt_.responseDeadline);
+    const std::uint64_t eventsBefore = splitter_.Events();
     std::string events = splitter_.Add(part.bytes);
-    if (splitter_.Events() > eventsSeen) {
-      eventsSeen = splitter_.Events();
-      deadline = NextEventDeadline();
+    // Bytes without an event are no sign of the server.
+    const bool hasNewEvent = splitter_.Events() > eventsBefore;
+    if (hasNewEvent) {
+      silence_->Stop();
     }
     StoreResponseEnd(aExchange);
     const bool isBrokenOff =
@@ -704,6 +759,9 @@
         };
       }
     }
+    if (hasNewEvent) {
+      ExpectWithin(NextEventPatience());
+    }
     if (splitter_.IsEndless()) {
       aExchange.Cancel();
       co_return SendResult{ hasResponseBegun_ ? SendFailure::Interrupted
@@ -713,7 +771,8 @@
                             true };
     }
     if (part.state != ExchangeState::Ok || isBrokenOff) {
-      const bool isUnresponsive = part.state == ExchangeState::TimedOut;
+      const bool isUnresponsive =
+        part.state == ExchangeState::TimedOut || silence_->HasGivenUp();
       co_return SendResult{
         hasResponseBegun_ ? SendFailure::Interrupted : SendFailure::Lost,
         isUnresponsive ? SendOutcome::Unreachable : BrokenOutcome(aExchange),
--- a/servers/gateway/send_loop.h
+++ b/servers/gateway/send_loop.h
@@ -4,6 +4,7 @@
 #include "core/gateway/held_requests.h"
 #include "core/gateway/replica_choice.h"
 #include "core/gateway/retry_policy.h"
+#include "core/gateway/send_bar.h"
 #include "core/gateway/service_availability.h"
 #include "drivers/edge/backend_exchange.h"
 #include "platform/backend_response_head.h"
@@ -14,6 +15,7 @@
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
 #include "servers/gateway/response_observer.h"
+#include "servers/gateway/silence_watch.h"
 #include "servers/gateway/stream_origin_service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -21,6 +23,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -92,7 +95,9 @@
   void ReportEnd(const SendResult& aResult);
   /** Ends the attempt because of a part of its prompt. */
   boost::asio::awaitable<void> FinishWithTrait(const TraitDecision& aDecision);
-  std::optional<ChosenReplica> Choose() const;
+  /** Chooses none of the excluded servers. */
+  std::optional<ChosenReplica> Choose(
+    std::span<const std::string> aExcluded) const;
   /** Of the servers that may serve the attempt. */
   ServiceAvailability Availability() const;
   /** Servers that are held, with the reason, for the log; the first few. */
@@ -104,12 +109,23 @@
   boost::asio::awaitable<void> AwaitHeld(Instant aUntil);
   /** Until when the attempt waits while others try its suspect traits. */
   Instant TurnDeadline() const;
-  /** Deadline for the header and the first event of a response. */
-  Instant ResponseStartDeadline(const ChosenReplica& aChoice) const;
-  /** Deadline for the next event of a stream. */
-  Instant NextEventDeadline() const;
+  /** How long a server may be silent before the header and the first event of
+   * a response; empty if until the deadline. */
+  std::optional<Duration> ResponseStartPatience(
+    const ChosenReplica& aChoice) const;
+  /** The same before the next event of a stream. */
+  std::optional<Duration> NextEventPatience() const;
+  /** The chance of a server that is none of the excluded ones, after so many
+   * sends. */
+  SendOutlook OutlookAfter(std::uint32_t aSends,
+                           std::span<const std::string> aExcluded);
   /** Whether another send is allowed; a retry draws on the retry budget. */
   bool CanSendMore(Instant aNow);
+  /** Whether to give up the current replica, which is silent: the attempt can
+   * go on at another one now. Logs the reason if not. */
+  bool MayLeaveSilent();
+  /** Expects a sign of the current replica within this time. */
+  void ExpectWithin(std::optional<Duration> aPatience);
   /** Updates the load estimate of the replica, once per send. */
   void ReportFirstPart();
   /** Releases the results of the stages once the replica has fetched them. */
@@ -147,7 +163,9 @@
   std::uint64_t eventsBeforeSend_ = 0; ///< Complete events of earlier sends.
   Duration timeToFirstPart_{};         ///< Zero if none arrived.
   const ChosenReplica* currentReplica_ = nullptr; ///< Null between sends.
-  std::uint64_t uncachedTokens_ = 0;           ///< Zero after the first part.
+  std::optional<SilenceWatch> silence_;           ///< Of the current replica.
+  SendBar silenceBar_ = SendBar::None; ///< Last logged of the current replica.
+  std::uint64_t uncachedTokens_ = 0;   ///< Zero after the first part.
   std::optional<EdgeResponse> backendFailure_; ///< From a backend server.
   boost::asio::steady_timer fetchTimer_;
   boost::asio::steady_timer refusalTimer_; ///< From the client's leaving on.
--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -56,6 +56,7 @@
 
 Cell::Cell(CellSize aSize, std::uint64_t aSeed)
   : seed_(aSeed)
+  , graceSeconds_(aSize.graceSeconds)
   // Test processes that run at the same time must not share addresses.
   , networkPrefix_("127." + std::to_string(64 + getpid() % 128) + "." +
                    std::to_string(getpid() / 128 % 250) + ".")
@@ -148,7 +149,8 @@
   std::ofstream out(aGateway.settingsFile);
   out << "[gateway]\nname = "
       << std::filesystem::path(aGateway.settingsFile).stem().string()
-      << "\nzone = z\ngrace_s = 4\nprocessor_share = 0.5\n"
+      << "\nzone = z\ngrace_s = " << graceSeconds_
+      << "\nprocessor_share = 0.5\n"
       << "[network]\nclients = " << aGateway.clientAddress
       << "\nready = " << aGateway.readyAddress
       << "\ncontrol = " << WithPort(aGateway.hostAddress, kControlPort)
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -17,13 +17,15 @@
 
 namespace gypsum::tests {
 
-/** Number of processes and fakes in a cell. */
+/** Number of processes and fakes in a cell, and the time that a stopping
+ * gateway has. */
 struct CellSize
 {
   int gateways = 2;
   int modelReplicas = 3;
   int plainServers = 2;
   int stageServers = 2;
+  int graceSeconds = 4;
 };
 
 /** One gateway process and the addresses it listens on. */
@@ -125,6 +127,7 @@
                    std::vector<std::unique_ptr<CellReplica>>& aTo);
 
   std::uint64_t seed_;
+  int graceSeconds_;
   std::string
     networkPrefix_; ///< First three octets of the addresses, with a dot.
   std::filesystem::path folder_;
