Count the time that a request waits unread

Cause: the time of a request started when its handler ran. What waits before that in the kernel, while a gateway gets no processor time, was counted by nobody: deadline and timeout started late by that.

Evidence: the operators' record (sent at 16.062 s, timeout 400 ms, at a server at 17.223 s), and a gateway that is stopped for 0.8 s while a request with 300 ms arrives: it was run.

Change: a timer that runs anyway measures the lag of the event loop (LoopLag). A request counts as arrived by so much earlier, but not before its connection was seen without it; one whose time is over is refused at once, and the time is asked again when the connection to the server is there. So no request is sent on after its time because of a late loop. The lag is in the metrics, in the dump, and in the log from 200 ms on ('loop-late').

Measured: '[LateGateway] a request whose time is over before the gateway reads it is refused as not run' with the binary of: 'CHECK( 200 == 503 )' and executed; passes now.

--- a/servers/gateway/attempt.h
+++ b/servers/gateway/attempt.h
@@ -28,6 +28,7 @@
   const CustomerSpec* customer = nullptr; ///< Null on a public route.
   const BackendServiceSpec* service = nullptr;
   Instant arrivedAt{};
+  Duration unreadTime{};       ///< From its arrival until it was read, at most.
   Instant targetAt{};          ///< Latest first part within the target.
   Instant firstPartDeadline{}; ///< Latest first part before clients time out.
   Instant responseDeadline{};  ///< Latest end of the response.
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -20,6 +20,8 @@
 /** Interval of the periodic tasks: expiry, log flush, settings check. */
 constexpr Duration kHousekeepingInterval = std::chrono::milliseconds(200);
 constexpr int kRoundsPerSettingsCheck = 5;
+/** Lag of the event loop that callers notice. */
+constexpr Duration kLoggedLoopLag = std::chrono::milliseconds(200);
 /** Time after which the load balancer has removed a gateway that is not ready.
  * It polls once a second and removes a gateway after two failed polls: that
  * takes at most 2 s, and 0.6 s are added as a margin. */
@@ -272,6 +274,8 @@
   text += "version: " + std::to_string(platformState_.Version()) + "\n";
   text += "registry: " + TextOf(state_.registry.Revision()) + "\n";
   text += "peers: " + std::to_string(peers_.LiveGateways() - 1) + "\n";
+  text +=
+    "loop lag: " + std::to_string(state_.loopLag.At(now).count()) + " us\n";
   for (const RegistryChange& entry :
        state_.registry.Snapshot(Now().steady).entries) {
     if (!entry.record) {
@@ -311,17 +315,29 @@
                      { "store", settings->storeAddress } });
 }
 
+void GatewayProcess::NoteLoopLag()
+{
+  const Duration lag = state_.loopLag.TakeLargest();
+  maxLoopDelay_ = std::max(maxLoopDelay_, lag);
+  if (lag >= kLoggedLoopLag) {
+    state_.log.Write(LogClass::Failure,
+                     "loop-late",
+                     { { "lag", lag },
+                       { "busy", clientListener_.BusyCount() },
+                       { "connections", clientListener_.Connections() } });
+  }
+}
+
 asio::awaitable<void> GatewayProcess::Housekeeping()
 {
   asio::steady_timer timer(loop_);
   for (int round = 0;; ++round) {
-    const Instant due = Now().steady + kHousekeepingInterval;
-    timer.expires_at(due);
+    timer.expires_after(kHousekeepingInterval);
     boost::system::error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
     const Instant now = Now().steady;
-    maxLoopDelay_ = std::max(maxLoopDelay_, Duration(now - due));
+    NoteLoopLag();
     platformState_.Expire();
     origins_.RemoveExpired();
     crashes_.Expire();
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -56,6 +56,8 @@
   std::string StateText() const;
   bool IsReady() const;
   void CheckSettings();
+  /** Keeps the lag of the event loop for the metrics, and logs a large one. */
+  void NoteLoopLag();
 
   boost::asio::io_context loop_{ 1 };
   GatewayState state_;
@@ -75,7 +77,7 @@
   std::optional<EdgeListener> controlListener_;
   std::optional<EdgeListener> metricsListener_;
   boost::asio::signal_set signals_;
-  /** Maximum delay of the event loop since the last metrics report. */
+  /** Maximum lag of the event loop since the last metrics report. */
   Duration maxLoopDelay_{};
   /** A thread has ended by an error, which is why the gateway stops. */
   bool hasFailed_ = false;
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -8,6 +8,7 @@
 #include "core/gateway/gateway_settings.h"
 #include "core/gateway/held_requests.h"
 #include "core/gateway/limit_blocks.h"
+#include "core/gateway/loop_lag.h"
 #include "core/gateway/prefix_cache_index.h"
 #include "core/gateway/route_table.h"
 #include "core/gateway/send_permissions.h"
@@ -84,6 +85,7 @@
   BackendPool pool;
   GatewayMetrics metrics;
   TaskGuard tasks{ loop, log, metrics };
+  LoopLag loopLag; ///< Of the rounds of knowledge, several times a second.
   std::minstd_rand random{ static_cast<std::uint_fast32_t>(self.incarnation) };
   Instant lastStoreResponseAt{};    ///< Last successful response of the store.
   std::optional<StopSchedule> stop; ///< Empty unless stopping.
--- a/servers/gateway/knowledge_service.cpp
+++ b/servers/gateway/knowledge_service.cpp
@@ -60,7 +60,9 @@
     if (std::exchange(wasUrgent_, isUrgent) && !isUrgent) {
       Announce();
     }
-    timer.expires_after(kRoundInterval);
+    const Instant next = Now().steady + kRoundInterval;
+    state_.loopLag.OnTick(now, next);
+    timer.expires_at(next);
     boost::system::error_code ignored;
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "core/gateway/piece_limit.h"
 #include "core/gateway/request_identity.h"
+#include "core/gateway/send_bar.h"
 #include "core/gateway/service_availability.h"
 #include "core/hash.h"
 #include "drivers/clock.h"
@@ -98,6 +99,10 @@
 
 asio::awaitable<void> RequestHandler::Serve(ClientConnectionPtr aClient)
 {
+  // A connection that waited to be accepted may have brought its first request
+  // meanwhile.
+  Duration acceptLag = state_.loopLag.At(Now().steady);
+  Instant seenEmptyAt = Now().steady - acceptLag;
   for (;;) {
     const ClientLimits limits =
       state_.routes ? state_.routes->Configuration().limits : kInitialLimits;
@@ -117,7 +122,9 @@
     }
     std::exception_ptr error;
     try {
-      co_await HandleRequest(aClient);
+      const Instant now = Now().steady;
+      const Duration lag = state_.loopLag.At(now) + acceptLag;
+      co_await HandleRequest(aClient, ArrivalOf(now, lag, seenEmptyAt));
     } catch (...) {
       error = std::current_exception();
     }
@@ -126,6 +133,8 @@
       co_await FailByException(aClient, error);
       co_return;
     }
+    acceptLag = {};
+    seenEmptyAt = Now().steady;
     if (!aClient->KeepsAlive() || aClient->HasDisconnected()) {
       co_return;
     }
@@ -145,11 +154,13 @@
   co_await aClient->WriteResponse(FailureResponse(ErrorKind::Internal, {}));
 }
 
-asio::awaitable<void> RequestHandler::HandleRequest(ClientConnectionPtr aClient)
+asio::awaitable<void> RequestHandler::HandleRequest(ClientConnectionPtr aClient,
+                                                    Instant aArrivedAt)
 {
   Attempt attempt;
   attempt.client = aClient;
-  attempt.arrivedAt = Now().steady;
+  attempt.arrivedAt = aArrivedAt;
+  attempt.unreadTime = Now().steady - aArrivedAt;
   attempt.parameters = DecodeClientAttempt(aClient->GetRequest());
   if (const auto kind = Admit(attempt)) {
     co_await Refuse(attempt, *kind, Duration{});
@@ -159,6 +170,11 @@
     co_await Refuse(attempt, ErrorKind::Stopping, StopSchedule::kRetryAfter);
     co_return;
   }
+  if (attempt.responseDeadline - Now().steady <= kMinSendTime) {
+    // What is read later has waited as long.
+    co_await Refuse(attempt, ErrorKind::Overloaded, attempt.unreadTime);
+    co_return;
+  }
   const OpenAttempt open(openAttempts_, attempt);
   if (attempt.parameters.IsResume() &&
       attempt.route->repeatability == Repeatability::ResumableStream) {
@@ -700,6 +716,7 @@
                             : 0 },
       { "registry", TextOf(state_.registry.Revision()) },
       { "malformed", aAttempt.parameters.malformedHeader },
+      { "unread", aAttempt.unreadTime },
       { "trait", aAttempt.refusedTrait },
       { "store-age", Now().steady - state_.lastStoreResponseAt },
       { "configuration-age", state_.configurationKnowledge.Age(Now().steady) },
--- a/servers/gateway/request_handler.h
+++ b/servers/gateway/request_handler.h
@@ -62,7 +62,8 @@
   /** Ends a request whose handling has thrown. */
   boost::asio::awaitable<void> FailByException(ClientConnectionPtr aClient,
                                                std::exception_ptr aError);
-  boost::asio::awaitable<void> HandleRequest(ClientConnectionPtr aClient);
+  boost::asio::awaitable<void> HandleRequest(ClientConnectionPtr aClient,
+                                             Instant aArrivedAt);
   /** Fills in the attempt; returns the error if the request is refused. */
   std::optional<ErrorKind> Admit(Attempt& aAttempt);
   /** The answer to a request that the configuration does not allow; final only
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -469,11 +469,13 @@
                         : Reuse::Recent;
   const ExchangeState connectState =
     co_await exchange.Connect(reuse, attempt_.responseDeadline);
-  if (attempt_.cancellation.IsCancelled()) {
+  const bool isCancelled = attempt_.cancellation.IsCancelled();
+  if (isCancelled || attempt_.responseDeadline - Now().steady <= kMinSendTime) {
     attempt_.cancellation.ClearOnCancel();
-    co_return SendResult{
-      SendFailure::NotConnected, SendOutcome::Abandoned, "client-left", false
-    };
+    co_return SendResult{ SendFailure::NotConnected,
+                          SendOutcome::Abandoned,
+                          isCancelled ? "client-left" : "too-late",
+                          false };
   }
   if (connectState != ExchangeState::Ok) {
     attempt_.cancellation.ClearOnCancel();
--- /dev/null
+++ b/tests/cell/test_late_gateway.cpp
@@ -0,0 +1,88 @@
+#include "tests/cell/cell.h"
+#include "tests/cell/cell_load.h"
+#include "tests/support/wait.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+
+namespace gypsum::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned kNotRun = 503;
+/** Longer than the time that the clients have. */
+constexpr milliseconds kStopTime{ 800 };
+constexpr milliseconds kShortDeadline{ 300 };
+
+/** A gateway that gets no processor time while requests arrive, and has an open
+ * connection to the server, so that a send waits for nothing. */
+struct LateGatewayFixture
+{
+  LateGatewayFixture()
+  {
+    REQUIRE(cell.Start());
+    const CellRequest first = cell.MakePlainRequest("/once/x");
+    REQUIRE(IsServed(first, client.Send(first)));
+  }
+
+  void Signal(int aSignal) { Gateway().process->Signal(aSignal); }
+  CellGateway& Gateway() { return cell.Gateways().front(); }
+
+  bool WasExecuted(const CellRequest& aRequest)
+  {
+    return !cell.ExecutionsOf(aRequest.attemptId).empty();
+  }
+
+  /** Serves a request, after those that arrived before it. */
+  void ServeAnother()
+  {
+    const CellRequest later = cell.MakePlainRequest("/once/x");
+    CHECK(IsServed(later, CellClient(Gateway().clientAddress).Send(later)));
+  }
+
+  Cell cell{ CellSize{ 1, 1, 1, 1 } };
+  CellClient client{ cell.Gateways().front().clientAddress };
+};
+
+} // namespace
+
+// Guards against requests that are sent on after their time: it starts when
+// they arrive, not when the gateway reads them.
+TEST_CASE_FIXTURE(LateGatewayFixture,
+                  "[LateGateway] a request whose time is over before the "
+                  "gateway reads it is refused as not run")
+{
+  CellRequest request = cell.MakePlainRequest("/once/x");
+  request.headers.emplace_back("Deadline-Ms",
+                               std::to_string(kShortDeadline.count()));
+  Signal(SIGSTOP);
+  auto answer =
+    std::async(std::launch::async, [&] { return client.Send(request); });
+  std::this_thread::sleep_for(kStopTime);
+  Signal(SIGCONT);
+  CHECK(answer.get().status == kNotRun);
+  ServeAnother();
+  CHECK_FALSE(WasExecuted(request));
+}
+
+TEST_CASE_FIXTURE(LateGatewayFixture,
+                  "[LateGateway] a request with time left after the gateway "
+                  "goes on is served")
+{
+  CellRequest request = cell.MakePlainRequest("/once/x");
+  Signal(SIGSTOP);
+  auto answer =
+    std::async(std::launch::async, [&] { return client.Send(request); });
+  std::this_thread::sleep_for(kShortDeadline);
+  Signal(SIGCONT);
+  CHECK(IsServed(request, answer.get()));
+}
+
+} // namespace gypsum::tests
