Ask whether a client has left right before its request is sent

Cause: a client's close is learned from a read on the event loop, which waits behind the same lag as the request itself. With an open connection to the server a request is sent within the step that reads it, before the loop can learn of the close.

Evidence: a client that sends a request and leaves while its gateway is stopped; the request was run.

Change: right before the bytes of a request go out, the gateway asks the system whether the client's socket has been closed, which does not wait. A call for pieces is dropped if all of its jobs were cancelled while it waited for a connection. So what the system knows of a client by then counts, however late the loop is.

--- a/drivers/edge/client_connection.cpp
+++ b/drivers/edge/client_connection.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
+#include <poll.h>
 
 #include <array>
 #include <utility>
@@ -277,6 +278,14 @@
     });
 }
 
+bool ClientConnection::HasLeft()
+{
+  constexpr short kEnd = POLLRDHUP | POLLHUP | POLLERR;
+  pollfd item{ stream_.socket().native_handle(), POLLRDHUP, 0 };
+  return hasDisconnected_ ||
+         (poll(&item, 1, 0) > 0 && (item.revents & kEnd) != 0);
+}
+
 void ClientConnection::SetResetOnClose(bool aIsReset)
 {
   boost::system::error_code ignored;
--- a/drivers/edge/client_connection.h
+++ b/drivers/edge/client_connection.h
@@ -72,6 +72,9 @@
   void WatchForDisconnect(std::function<void()> aOnDisconnect);
   void StopWatching() { onDisconnect_ = nullptr; }
   bool HasDisconnected() const { return hasDisconnected_; }
+  /** Whether the client has closed the connection, as the system knows it now:
+   * the event loop may learn of it later. */
+  bool HasLeft();
 
   /** Whether another request may follow on this connection. */
   bool KeepsAlive() const { return keepsAlive_; }
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -379,6 +379,13 @@
       ExchangeState::Ok) {
     co_return BatchEnd::Unreachable;
   }
+  const bool isWanted =
+    std::ranges::any_of(aBatch.items, [&](const BatchItem& aItem) {
+      return queue->queue.Find(aItem.job) != nullptr;
+    });
+  if (!isWanted) {
+    co_return BatchEnd::Rejected;
+  }
   const SendPermission permission = SendIfGranted(state_,
                                                   exchange,
                                                   *aBatch.backend,
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -469,6 +469,9 @@
                         : Reuse::Recent;
   const ExchangeState connectState =
     co_await exchange.Connect(reuse, attempt_.responseDeadline);
+  if (attempt_.client->HasLeft()) {
+    attempt_.cancellation.Cancel(CancelReason::ClientLeft);
+  }
   const bool isCancelled = attempt_.cancellation.IsCancelled();
   if (isCancelled || attempt_.responseDeadline - Now().steady <= kMinSendTime) {
     attempt_.cancellation.ClearOnCancel();
--- a/tests/cell/test_late_gateway.cpp
+++ b/tests/cell/test_late_gateway.cpp
@@ -53,6 +53,20 @@
 
 } // namespace
 
+// Guards against requests that are sent on after their clients have left: the
+// event loop learns of both at once.
+TEST_CASE_FIXTURE(LateGatewayFixture,
+                  "[LateGateway] a request whose client has left before the "
+                  "gateway reads it is not sent on")
+{
+  CellRequest request = cell.MakePlainRequest("/once/x");
+  Signal(SIGSTOP);
+  client.SendAndDisconnect(request, kShortDeadline);
+  Signal(SIGCONT);
+  ServeAnother();
+  CHECK_FALSE(WasExecuted(request));
+}
+
 // Guards against requests that are sent on after their time: it starts when
 // they arrive, not when the gateway reads them.
 TEST_CASE_FIXTURE(LateGatewayFixture,
