Judge crashes without comparing them for each trait

Cause, of a good part of the load: each report of a crash or survival that is new judges all crashes. For each trait of each crash that compared it with all other crashes, though the result counts in a new fleet only; names were copied and looked up again. Each report that arrived copied all verdicts, also one that brought nothing.

Change: the comparison is made once per crash of a new fleet, names are views, and verdicts are copied for reports that are new. The verdicts are the same.

--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -151,6 +151,7 @@
     isNew |= AddCrash(crash, aNow);
   }
   if (isNew) {
+    formerVerdicts_ = verdicts_;
     BoundMemory();
     Judge();
   }
@@ -158,7 +159,9 @@
   std::ranges::sort(survivals, std::ranges::greater{}, &TraitSurvival::age);
   for (const TraitSurvival& survival : survivals) {
     if (AddSurvival(survival, aNow)) {
-      isNew = true;
+      if (!std::exchange(isNew, true)) {
+        formerVerdicts_ = verdicts_;
+      }
       BoundMemory();
       Judge();
     }
@@ -303,7 +306,7 @@
   return silences > 0 && crashes + silences >= CrashEvidence::kCrashesToRefuse;
 }
 
-std::map<std::string, CrashEvidence::Score, std::less<>>
+std::map<std::string_view, CrashEvidence::Score>
 CrashEvidence::ScoreUnexplained() const
 {
   struct Event
@@ -311,31 +314,34 @@
     Instant at{};
     const Crash* crash = nullptr;
     const Survival* survival = nullptr; ///< One of the two is set.
+    std::uint32_t position = 0;         ///< Of a crash.
+    bool isSingle = false;              ///< The same.
   };
-  std::map<std::string, std::vector<Event>, std::less<>> events;
+  std::map<std::string_view, std::vector<Event>> events;
   for (const auto& [key, crash] : crashes_) {
     if (crash.isExplained) {
       continue;
     }
+    // It looks at all other crashes, and counts in a new fleet only.
+    const bool isSingle = crash.isFleetNew && IsSingle(crash);
     for (const auto& [trait, position] : crash.positions) {
-      events[trait].push_back({ crash.at, &crash, nullptr });
+      events[trait].push_back(
+        { crash.at, &crash, nullptr, position, isSingle });
     }
   }
   for (const auto& [key, survival] : survivals_) {
     const auto found = events.find(survival.trait);
     if (found != events.end()) {
-      found->second.push_back({ survival.at, nullptr, &survival });
+      found->second.push_back({ survival.at, nullptr, &survival, 0, false });
     }
   }
-  std::map<std::string, Score, std::less<>> scores;
+  std::map<std::string_view, Score> scores;
   for (auto& [trait, list] : events) {
     std::ranges::sort(list, {}, &Event::at);
     Score& score = scores[trait];
     for (const Event& event : list) {
       if (event.crash) {
-        score.OnCrash(*event.crash,
-                      event.crash->positions.find(trait)->second,
-                      IsSingle(*event.crash));
+        score.OnCrash(*event.crash, event.position, event.isSingle);
       } else {
         score.OnSurvival(*event.survival);
       }
@@ -366,7 +372,7 @@
       if (score.counted.empty() || (isRefused && trait != best->first)) {
         continue;
       }
-      verdicts_[trait] =
+      verdicts_[std::string(trait)] =
         score.ToVerdict(isRefused ? TraitState::Refused : TraitState::Suspect);
     }
     if (!isRefused) {
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -195,6 +195,11 @@
   {
     return verdicts_;
   }
+  /** The same before the last report that was new. */
+  const std::map<std::string, TraitVerdict, std::less<>>& FormerVerdicts() const
+  {
+    return formerVerdicts_;
+  }
   CrashReport Report(Instant aNow) const;
   /** Equal for gateways whose verdicts agree; zero without any. */
   std::uint64_t Digest() const;
@@ -250,13 +255,15 @@
    * been lost together. */
   bool IsSingle(const Crash& aCrash) const;
   void Judge();
-  std::map<std::string, Score, std::less<>> ScoreUnexplained() const;
+  /** By trait; the names are those of `crashes_`. */
+  std::map<std::string_view, Score> ScoreUnexplained() const;
   void BoundMemory();
   std::size_t CountTraits() const;
 
   std::map<CrashKey, Crash> crashes_;
   std::map<SurvivalKey, Survival> survivals_;
   std::map<std::string, TraitVerdict, std::less<>> verdicts_;
+  std::map<std::string, TraitVerdict, std::less<>> formerVerdicts_;
 };
 
 } // namespace gypsum
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -293,13 +293,13 @@
                              std::string_view aSource)
 {
   const Instant now = Now().steady;
-  const auto before = evidence_.Verdicts();
   for (const ServerLife& life : aReport.lives) {
     detector_.OnPeerResponse({ life.backend, life.startedMs }, now - life.age);
   }
   if (!evidence_.Add(aReport, now)) {
     return false;
   }
+  const auto& before = evidence_.FormerVerdicts();
   const auto& after = evidence_.Verdicts();
   std::set<std::string> changed;
   for (const auto& [trait, verdict] : after) {
