Pass the route of a message about pieces by reference

Cause: since a failed piece request is answered, its route is only read; the linter found the copies, and names of bindings in the captures of two tests.

Change: constant references, named values.

--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -106,12 +106,12 @@
       loop_, aSettings.metricsAddress, serveOperatorEndpoint);
   }
   peers_.SetHandler(
-    [this](Route aRoute, const PeerHeader& aHeader, PeerBody aBody) {
+    [this](const Route& aRoute, const PeerHeader& aHeader, PeerBody aBody) {
       if (!knowledge_.OnPeerMessage(aRoute, aHeader, aBody) &&
           !origins_.OnPeerMessage(aRoute, aHeader, aBody) &&
           !crashes_.OnPeerMessage(aRoute, aHeader, aBody) &&
           !limits_.OnPeerMessage(aRoute, aHeader, aBody)) {
-        pieces_.OnPeerMessage(std::move(aRoute), aHeader, std::move(aBody));
+        pieces_.OnPeerMessage(aRoute, aHeader, std::move(aBody));
       }
     });
   peers_.SetQueueWaitProvider([this] { return pieces_.LocalQueueWaits(); });
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -553,7 +553,7 @@
   StartBatches(aService);
 }
 
-void PieceService::OnPeerMessage(Route aRoute,
+void PieceService::OnPeerMessage(const Route& aRoute,
                                  const PeerHeader& aHeader,
                                  PeerBody aBody)
 {
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -61,7 +61,9 @@
   void Release(std::vector<StagePlan::Released> aReleased);
   /** Expected waits of the local queues, for the peers. */
   std::vector<ServiceWait> LocalQueueWaits() const;
-  void OnPeerMessage(Route aRoute, const PeerHeader& aHeader, PeerBody aBody);
+  void OnPeerMessage(const Route& aRoute,
+                     const PeerHeader& aHeader,
+                     PeerBody aBody);
 
 private:
   /** A job that a request of this gateway waits for. */
--- a/tests/cell/test_malformed_numbers.cpp
+++ b/tests/cell/test_malformed_numbers.cpp
@@ -68,7 +68,9 @@
     { "Deadline-Ms", "9223372036854775807" },
     { "Token-Counts", "18446744073709551615,1" },
   };
-  for (const auto& [header, value] : rows) {
+  for (const auto& row : rows) {
+    const std::string& header = row.first;
+    const std::string& value = row.second;
     CAPTURE(header);
     CAPTURE(value);
     CHECK(std::ranges::all_of(SendToAll(header, value), [](unsigned aStatus) {
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -196,8 +196,9 @@
     { "Pieces",
       { "-1", "two", "2,x", "1000001", "4294967296", "99999999999999999999" } },
   };
-  for (const auto& [header, values] : rows) {
-    for (const std::string& value : values) {
+  for (const auto& row : rows) {
+    const std::string& header = row.first;
+    for (const std::string& value : row.second) {
       CAPTURE(header);
       CAPTURE(value);
       WireRequest request = ClientRequest();
