Say what the processor time of a gateway goes to

Change: processor time of the event loop by kind of work (WorkMeter), of the peer transport's thread and of the process; messages, turns, visited sockets and judgements. Once a second in the log line `work`, in the dump and in the metrics; the lag of the loop as a histogram. No decision changes.

--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -352,6 +352,7 @@
 
 void CrashEvidence::Judge()
 {
+  ++judgements_;
   verdicts_.clear();
   for (auto& [key, crash] : crashes_) {
     crash.isExplained = false;
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -201,6 +201,8 @@
     return formerVerdicts_;
   }
   CrashReport Report(Instant aNow) const;
+  /** How often all that is known was judged anew. */
+  std::uint64_t Judgements() const { return judgements_; }
   /** Equal for gateways whose verdicts agree; zero without any. */
   std::uint64_t Digest() const;
 
@@ -264,6 +266,7 @@
   std::map<SurvivalKey, Survival> survivals_;
   std::map<std::string, TraitVerdict, std::less<>> verdicts_;
   std::map<std::string, TraitVerdict, std::less<>> formerVerdicts_;
+  std::uint64_t judgements_ = 0;
 };
 
 } // namespace gypsum
--- a/core/gateway/loop_lag.h
+++ b/core/gateway/loop_lag.h
@@ -17,12 +17,13 @@
 class LoopLag
 {
 public:
-  /** The timer is handled; it is due next at a time. */
-  void OnTick(Instant aNow, Instant aNextDue)
+  /** The timer is handled; it is due next at a time. Returns its lag. */
+  Duration OnTick(Instant aNow, Instant aNextDue)
   {
     last_ = Since(nextDue_, aNow);
     largest_ = std::max(largest_, last_);
     nextDue_ = aNextDue;
+    return last_;
   }
 
   /** The lag at the last tick, or that of the next one so far. */
--- a/core/messages.h
+++ b/core/messages.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -188,6 +189,9 @@
                               KnowledgeRequest,
                               KnowledgeReply>;
 
+/** Kind of a message, for metrics and logs; a literal. */
+std::string_view NameOf(const PeerBody& aBody);
+
 /** A message between two processes. */
 struct PeerMessage
 {
--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -135,6 +135,8 @@
     pollItems_.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
   }
   zmq::poll(pollItems_, kPollTimeout);
+  ++turns_;
+  socketsVisited_ += pollItems_.size() - 1;
   if ((pollItems_[1].revents & ZMQ_POLLIN) != 0) {
     ReceiveRouted();
   }
@@ -149,6 +151,7 @@
   if ((pollItems_[0].revents & ZMQ_POLLIN) != 0) {
     SendQueued();
   }
+  processorTime_ = ThreadProcessorTime().count();
 }
 
 void PeerTransport::SendQueued()
@@ -244,8 +247,17 @@
   handler_(std::move(aRoute), std::move(*message));
 }
 
+PeerTransport::Work PeerTransport::TotalWork() const
+{
+  return {
+    turns_, socketsVisited_, sent_, received_, ProcessorTime(processorTime_)
+  };
+}
+
 void PeerTransport::Describe(boost::json::object& aState) const
 {
+  aState["turns"] = turns_.load();
+  aState["sockets_visited"] = socketsVisited_.load();
   aState["sent"] = sent_.load();
   aState["received"] = received_.load();
   aState["dropped"] = dropped_.load();
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -2,6 +2,7 @@
 
 #include "core/agent/agent_events.h"
 #include "core/messages.h"
+#include "drivers/processor_time.h"
 
 #include <boost/json/fwd.hpp>
 #include <zmq.hpp>
@@ -62,6 +63,17 @@
   void Stop();
   void Describe(boost::json::object& aState) const;
 
+  /** What the transport thread has done since its start. */
+  struct Work
+  {
+    std::uint64_t turns = 0;          ///< Waits for events that have ended.
+    std::uint64_t socketsVisited = 0; ///< Asked whether they have events.
+    std::uint64_t sent = 0;           ///< Messages.
+    std::uint64_t received = 0;       ///< Messages.
+    ProcessorTime time{};
+  };
+  Work TotalWork() const;
+
 private:
   struct Outgoing
   {
@@ -94,6 +106,9 @@
   std::mutex mutex_;
   std::vector<Outgoing> outgoing_;
   std::atomic<bool> isStopping_ = false;
+  std::atomic<std::uint64_t> turns_ = 0;
+  std::atomic<std::uint64_t> socketsVisited_ = 0;
+  std::atomic<ProcessorTime::rep> processorTime_ = 0; ///< Of the thread.
   std::atomic<std::uint64_t> sent_ = 0;
   std::atomic<std::uint64_t> received_ = 0;
   std::atomic<std::uint64_t> dropped_ = 0;
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -296,7 +296,9 @@
   for (const ServerLife& life : aReport.lives) {
     detector_.OnPeerResponse({ life.backend, life.startedMs }, now - life.age);
   }
-  if (!evidence_.Add(aReport, now)) {
+  const bool isNew = evidence_.Add(aReport, now);
+  state_.metrics.Count("crash_reports", "result", isNew ? "new" : "known");
+  if (!isNew) {
     return false;
   }
   const auto& before = evidence_.FormerVerdicts();
--- a/servers/gateway/crash_service.h
+++ b/servers/gateway/crash_service.h
@@ -76,6 +76,8 @@
   void OnPeerStatus(const GatewayStatus& aStatus);
   /** Forgets what is old; call it several times a second. */
   void Expire();
+  /** How often all evidence was judged anew. */
+  std::uint64_t Judgements() const { return evidence_.Judgements(); }
   /** One line for each trait that is not sound. */
   std::string StateText() const;
 
--- a/servers/gateway/gateway_metrics.cpp
+++ b/servers/gateway/gateway_metrics.cpp
@@ -59,6 +59,11 @@
   addedLatency_.Record({ std::string(aRoute), "", "" }, aTime);
 }
 
+void GatewayMetrics::RecordLoopLag(Duration aLag)
+{
+  loopLag_.Record({ "", "", "" }, aLag);
+}
+
 void GatewayMetrics::RecordStageWait(std::string_view aService, Duration aWait)
 {
   stageWaits_.Record({ std::string(aService), "", "" }, aWait);
@@ -94,6 +99,7 @@
   eventGaps_.Write(text);
   addedLatency_.Write(text);
   stageWaits_.Write(text);
+  loopLag_.Write(text);
   WriteAll(counters_, text);
   WriteAll(gauges_, text);
   return text;
--- a/servers/gateway/gateway_metrics.h
+++ b/servers/gateway/gateway_metrics.h
@@ -30,6 +30,8 @@
   void RecordEventGap(std::string_view aRoute, Duration aGap);
   /** Time from the arrival of an event to the end of its write. */
   void RecordAddedLatency(std::string_view aRoute, Duration aTime);
+  /** How late a timer of the event loop was handled. */
+  void RecordLoopLag(Duration aLag);
   void RecordStageWait(std::string_view aService, Duration aWait);
   /** Increments `gypsum_NAME_total`; an empty `aLabel` means no label. */
   void Count(std::string_view aName,
@@ -53,6 +55,7 @@
   LatencyHistogram addedLatency_{ "gypsum_added_seconds", { "route", "", "" } };
   LatencyHistogram stageWaits_{ "gypsum_stage_wait_seconds",
                                 { "service", "", "" } };
+  LatencyHistogram loopLag_{ "gypsum_loop_lag_seconds", { "", "", "" } };
   std::map<std::string, double, std::less<>> counters_;
   std::map<std::string, double, std::less<>> gauges_;
 };
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -249,6 +249,7 @@
               static_cast<double>(state_.log.SuppressedLines()));
   metrics.Set(
     "log_lines_lost", "", "", static_cast<double>(state_.log.DroppedLines()));
+  SetWorkMetrics();
   if (state_.routes) {
     for (const auto& [name, service] :
          state_.routes->Configuration().services) {
@@ -267,6 +268,62 @@
   return metrics.Text();
 }
 
+void GatewayProcess::SetWorkMetrics()
+{
+  GatewayMetrics& metrics = state_.metrics;
+  const auto setSeconds = [&](std::string_view aThread, ProcessorTime aTime) {
+    metrics.Set("processor_seconds",
+                "thread",
+                aThread,
+                std::chrono::duration<double>(aTime).count());
+  };
+  const PeerTransport::Work transport = peers_.TransportWork();
+  setSeconds("all", ProcessProcessorTime());
+  setSeconds("loop", ThreadProcessorTime());
+  setSeconds("peers", transport.time);
+  const auto set = [&](std::string_view aName, std::uint64_t aCount) {
+    metrics.Set(aName, "", "", static_cast<double>(aCount));
+  };
+  set("peer_transport_turns", transport.turns);
+  set("peer_sockets_visited", transport.socketsVisited);
+  set("peer_messages_sent", transport.sent);
+  set("peer_messages_received", transport.received);
+  set("crash_judgements", crashes_.Judgements());
+  for (const auto& [kind, work] : state_.work.All()) {
+    metrics.Set("work_seconds",
+                "kind",
+                kind,
+                std::chrono::duration<double>(work.time).count());
+    metrics.Set("work_times", "kind", kind, static_cast<double>(work.times));
+  }
+}
+
+void GatewayProcess::LogWork()
+{
+  const PeerTransport::Work transport = peers_.TransportWork();
+  const WorkTotals now{ ProcessProcessorTime(),
+                        ThreadProcessorTime(),
+                        transport,
+                        crashes_.Judgements() };
+  const WorkTotals before = std::exchange(loggedWork_, now);
+  const auto since = [](ProcessorTime aNow, ProcessorTime aBefore) {
+    return std::chrono::duration_cast<Duration>(aNow - aBefore);
+  };
+  state_.log.Write(
+    LogClass::StateChange,
+    "work",
+    { { "processor", since(now.process, before.process) },
+      { "loop", since(now.loop, before.loop) },
+      { "peers", since(transport.time, before.transport.time) },
+      { "received", transport.received - before.transport.received },
+      { "sent", transport.sent - before.transport.sent },
+      { "turns", transport.turns - before.transport.turns },
+      { "sockets", transport.socketsVisited - before.transport.socketsVisited },
+      { "judgements", now.judgements - before.judgements },
+      { "busy", clientListener_.BusyCount() },
+      { "kinds", state_.work.TakeLargest() } });
+}
+
 std::string GatewayProcess::StateText() const
 {
   const Instant now = Now().steady;
@@ -274,6 +331,7 @@
   text += "version: " + std::to_string(platformState_.Version()) + "\n";
   text += "registry: " + TextOf(state_.registry.Revision()) + "\n";
   text += "peers: " + std::to_string(peers_.LiveGateways() - 1) + "\n";
+  text += "work: " + WorkText() + "\n";
   text +=
     "loop lag: " + std::to_string(state_.loopLag.At(now).count()) + " us\n";
   for (const RegistryChange& entry :
@@ -296,6 +354,15 @@
   return text + crashes_.StateText() + limits_.StateText();
 }
 
+std::string GatewayProcess::WorkText() const
+{
+  std::string text;
+  for (const auto& [kind, work] : state_.work.All()) {
+    text.append(text.empty() ? "" : ", ").append(ToText(kind, work));
+  }
+  return text;
+}
+
 void GatewayProcess::CheckSettings()
 {
   const auto settings = reload_ ? reload_() : std::nullopt;
@@ -337,16 +404,20 @@
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
     const Instant now = Now().steady;
-    NoteLoopLag();
-    platformState_.Expire();
-    origins_.RemoveExpired();
-    crashes_.Expire();
-    limits_.Expire();
-    state_.rests.Expire(now);
-    state_.pool.CloseExpired(now);
-    state_.log.Flush();
+    {
+      const WorkMeter::Scope work(state_.work, "housekeeping");
+      NoteLoopLag();
+      platformState_.Expire();
+      origins_.RemoveExpired();
+      crashes_.Expire();
+      limits_.Expire();
+      state_.rests.Expire(now);
+      state_.pool.CloseExpired(now);
+      state_.log.Flush();
+    }
     if (round % kRoundsPerSettingsCheck == 0) {
       CheckSettings();
+      LogWork();
     }
   }
 }
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -17,6 +17,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -55,6 +56,12 @@
   std::string MetricsText();
   std::string StateText() const;
   bool IsReady() const;
+  /** Processor time, messages and judgements, for the metrics. */
+  void SetWorkMetrics();
+  /** The same since the last call, as a log line. */
+  void LogWork();
+  /** Processor time by kind of work since the start, for the dump. */
+  std::string WorkText() const;
   void CheckSettings();
   /** Keeps the lag of the event loop for the metrics, and logs a large one. */
   void NoteLoopLag();
@@ -79,6 +86,14 @@
   boost::asio::signal_set signals_;
   /** Maximum lag of the event loop since the last metrics report. */
   Duration maxLoopDelay_{};
+  struct WorkTotals
+  {
+    ProcessorTime process{};
+    ProcessorTime loop{};
+    PeerTransport::Work transport;
+    std::uint64_t judgements = 0;
+  };
+  WorkTotals loggedWork_; ///< At the last log line about it.
   /** A thread has ended by an error, which is why the gateway stops. */
   bool hasFailed_ = false;
 };
--- a/servers/gateway/gateway_state.h
+++ b/servers/gateway/gateway_state.h
@@ -20,6 +20,7 @@
 #include "drivers/event_log.h"
 #include "servers/gateway/gateway_metrics.h"
 #include "servers/gateway/task_guard.h"
+#include "servers/gateway/work_meter.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -84,6 +85,7 @@
   GatewayRetryBudget retryBudget;
   BackendPool pool;
   GatewayMetrics metrics;
+  WorkMeter work;
   TaskGuard tasks{ loop, log, metrics };
   LoopLag loopLag; ///< Of the rounds of knowledge, several times a second.
   std::minstd_rand random{ static_cast<std::uint_fast32_t>(self.incarnation) };
--- a/servers/gateway/knowledge_service.cpp
+++ b/servers/gateway/knowledge_service.cpp
@@ -43,25 +43,32 @@
   state_.tasks.SpawnEndless("knowledge-rounds", [this] { return RoundLoop(); });
 }
 
+void KnowledgeService::RunRound()
+{
+  const WorkMeter::Scope work(state_.work, "knowledge-round");
+  live_ = peers_.LivePeers(LeavingPeers::Include);
+  for (const StorePart part : kParts) {
+    FetchIfDue(part);
+    AskIfDue(part);
+    NoteAge(part);
+  }
+  const Instant now = Now().steady;
+  const bool isUrgent = std::ranges::any_of(kParts, [&](StorePart aPart) {
+    return state_.Knowledge(aPart).Age(now) >= StoreKnowledge::kUrgentAge;
+  });
+  if (std::exchange(wasUrgent_, isUrgent) && !isUrgent) {
+    Announce();
+  }
+}
+
 asio::awaitable<void> KnowledgeService::RoundLoop()
 {
   asio::steady_timer timer(state_.loop);
   for (;;) {
-    live_ = peers_.LivePeers(LeavingPeers::Include);
-    for (const StorePart part : kParts) {
-      FetchIfDue(part);
-      AskIfDue(part);
-      NoteAge(part);
-    }
+    RunRound();
     const Instant now = Now().steady;
-    const bool isUrgent = std::ranges::any_of(kParts, [&](StorePart aPart) {
-      return state_.Knowledge(aPart).Age(now) >= StoreKnowledge::kUrgentAge;
-    });
-    if (std::exchange(wasUrgent_, isUrgent) && !isUrgent) {
-      Announce();
-    }
-    const Instant next = Now().steady + kRoundInterval;
-    state_.loopLag.OnTick(now, next);
+    const Instant next = now + kRoundInterval;
+    state_.metrics.RecordLoopLag(state_.loopLag.OnTick(now, next));
     timer.expires_at(next);
     boost::system::error_code ignored;
     co_await timer.async_wait(
--- a/servers/gateway/knowledge_service.h
+++ b/servers/gateway/knowledge_service.h
@@ -41,6 +41,7 @@
 
 private:
   boost::asio::awaitable<void> RoundLoop();
+  void RunRound();
   void OnKnowledgeReply(const PeerHeader& aHeader,
                         const KnowledgeReply& aReply);
   KnowledgeReply OwnKnowledge(std::int64_t aNumber) const;
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -256,6 +256,7 @@
 
 void PeerExchange::SendStatusNow()
 {
+  const WorkMeter::Scope work(state_.work, "status-round");
   const GatewayStatus status = OwnStatus();
   for (const std::string& target : RoundTargets()) {
     SendTo(target, status);
@@ -284,6 +285,7 @@
 
 void PeerExchange::Receive(Route aRoute, PeerMessage aMessage)
 {
+  const WorkMeter::Scope work(state_.work, NameOf(aMessage.body));
   const PeerHeader& header = aMessage.header;
   const bool isForThisProcess =
     header.target == 0 || header.target == state_.self.incarnation;
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -151,6 +151,7 @@
   void OnLeavingResponse(const BackendRecord& aBackend);
   /** Sends the status without waiting for the next round. */
   void SendStatusNow();
+  PeerTransport::Work TransportWork() const { return transport_.TotalWork(); }
   /** This gateway has begun to stop and owns nothing any more. */
   void AnnounceStop();
 
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -301,6 +301,7 @@
 
 void PieceService::StartBatches(const std::string& aService)
 {
+  const WorkMeter::Scope work(state_.work, "start-batches");
   Queue* const queue = FindOrCreateQueue(aService);
   if (!queue) {
     return;
--- a/servers/gateway/send_loop.cpp
+++ b/servers/gateway/send_loop.cpp
@@ -115,6 +115,7 @@
 std::optional<ChosenReplica> SendLoop::Choose(
   std::span<const std::string> aExcluded) const
 {
+  const WorkMeter::Scope work(state_.work, "choose-replica");
   const BackendServiceSpec& service = *attempt_.service;
   ChoiceCriteria criteria;
   criteria.zone = state_.settings.zone;
