Ask a server before telling the fleet that it is silent

Cause: a server counted as silent 400 ms after it was last heard, whatever it had been given to do. A prompt of 20,000 tokens takes longer. Each such silence and its end was told to all gateways, each of which judged all evidence anew: the work of one gateway grew with the silences of the whole fleet.

Change: after 300 ms without a sign the gateway asks the server itself, by the question that is asked after a long silence. The silence is reported after 400 ms as before, if the question is not answered by then. A send that was given up is settled by an answer, too. Messages to peers for a busy server: from two a peer to none, at any size of the fleet.

Why it works: a server that has ended, is frozen or is cut off answers no question; one that computes does.

--- a/core/gateway/unanswered_sends.cpp
+++ b/core/gateway/unanswered_sends.cpp
@@ -75,9 +75,16 @@
   }
 }
 
+bool UnansweredSends::MayBeUnheard(const Send& aSend)
+{
+  return aSend.state == State::Running ||
+         (aSend.state == State::GivenUp && !aSend.isSettled);
+}
+
 bool UnansweredSends::IsSilent(const Send& aSend, Instant aNow) const
 {
-  if (aSend.state != State::Running && aSend.state != State::GivenUp) {
+  if (!MayBeUnheard(aSend) ||
+      unansweredQuestions_.contains(IncarnationOf(*aSend.backend))) {
     return false;
   }
   const Instant since = SilentSince(aSend);
@@ -196,6 +203,44 @@
   return end;
 }
 
+std::vector<BackendPtr> UnansweredSends::TakeUnheard(Instant aNow)
+{
+  std::vector<BackendPtr> servers;
+  for (const auto& [number, send] : sends_) {
+    const Instant since = SilentSince(send);
+    if (!MayBeUnheard(send) || aNow - since < kUnheardTime) {
+      continue;
+    }
+    const Incarnation server = IncarnationOf(*send.backend);
+    const auto askedAt = unheardAskedAt_.find(server);
+    const bool isAsked =
+      askedAt != unheardAskedAt_.end() && askedAt->second >= since;
+    if (!isAsked && unansweredQuestions_.insert(server).second) {
+      unheardAskedAt_[server] = aNow;
+      servers.push_back(send.backend);
+    }
+  }
+  return servers;
+}
+
+void UnansweredSends::OnQuestionEnd(const Incarnation& aServer,
+                                    bool aIsAlive,
+                                    Instant aNow)
+{
+  unansweredQuestions_.erase(aServer);
+  if (!aIsAlive) {
+    return;
+  }
+  heardAt_[aServer] = aNow;
+  for (auto& [number, send] : sends_) {
+    // A process that has taken its place would have been listed, and counts for
+    // the send then.
+    send.isSettled =
+      send.isSettled || (send.state == State::GivenUp && IsOf(send, aServer) &&
+                         aNow - send.endedAt >= kSurvivalTime);
+  }
+}
+
 std::vector<NoticedEnd> UnansweredSends::TakeSilences(Instant aNow)
 {
   std::map<Incarnation, NoticedEnd> ends;
@@ -235,9 +280,7 @@
 {
   std::vector<BackendPtr> servers;
   for (const auto& [number, send] : sends_) {
-    const bool mayBeSilent =
-      send.state == State::Running || send.state == State::GivenUp;
-    if (!mayBeSilent || aNow - SilentSince(send) < kMaxSilence) {
+    if (!MayBeUnheard(send) || aNow - SilentSince(send) < kMaxSilence) {
       continue;
     }
     Instant& askedAt = askedAt_[IncarnationOf(*send.backend)];
@@ -260,6 +303,7 @@
   };
   std::erase_if(heardAt_, isOld);
   std::erase_if(askedAt_, isOld);
+  std::erase_if(unheardAskedAt_, isOld);
 }
 
 } // namespace gypsum
--- a/core/gateway/unanswered_sends.h
+++ b/core/gateway/unanswered_sends.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,10 @@
   /** Time without a response of a server after which it is silent, unless a
    * response was overdue before. */
   static constexpr Duration kSilenceTime = std::chrono::milliseconds(400);
+  /** Time without a response after which a server is asked whether it lives:
+   * one that is busy with a long request answers. Its answer takes up to the
+   * rest of `kSilenceTime`. */
+  static constexpr Duration kUnheardTime = std::chrono::milliseconds(300);
   /** Time between two reports of the same silence. */
   static constexpr Duration kSilenceReportGap = std::chrono::seconds(1);
   /** Silence after which the server itself is asked: the registry has not
@@ -101,6 +106,11 @@
   std::vector<Number> EndedAt(const Incarnation& aServer) const;
   /** What the end of an incarnation concerns; `requests` may be zero. */
   NoticedEnd EndOf(const Incarnation& aServer, Instant aNow) const;
+  /** Servers to ask whether they live. Each is returned once in a silence, and
+   * is not silent until `OnQuestionEnd`. */
+  std::vector<BackendPtr> TakeUnheard(Instant aNow);
+  /** A server has answered that question, or has not in time. */
+  void OnQuestionEnd(const Incarnation& aServer, bool aIsAlive, Instant aNow);
   /** Servers that have fallen silent since the last call, each with the traits
    * of the sends that were not reported yet. */
   std::vector<NoticedEnd> TakeSilences(Instant aNow);
@@ -131,6 +141,8 @@
     Instant endedAt{};    ///< When it broke or was given up.
     Instant reportedAt{}; ///< As one to which the server is silent.
     bool isOverdue = false;
+    /** It was given up, and its server has answered a question since. */
+    bool isSettled = false;
 
     bool Counts() const
     {
@@ -145,6 +157,8 @@
   bool IsOf(const Send& aSend, const Incarnation& aServer) const;
   /** Since when the server of a send has been silent. */
   Instant SilentSince(const Send& aSend) const;
+  /** Whether the silence of its server says something of a send. */
+  static bool MayBeUnheard(const Send& aSend);
   /** Whether the server of a send has been silent to it for long enough. */
   bool IsSilent(const Send& aSend, Instant aNow) const;
   /** Since when an incarnation has been silent to the first of its sends. */
@@ -153,6 +167,8 @@
   std::map<Number, Send> sends_;
   std::map<Incarnation, Instant> heardAt_; ///< Last response.
   std::map<Incarnation, Instant> askedAt_;
+  std::map<Incarnation, Instant> unheardAskedAt_; ///< Of `TakeUnheard`.
+  std::set<Incarnation> unansweredQuestions_;     ///< The same.
   Instant pauseEndedAt_{};
 };
 
--- a/drivers/edge/liveness_probe.cpp
+++ b/drivers/edge/liveness_probe.cpp
@@ -1,5 +1,6 @@
 #include "drivers/edge/liveness_probe.h"
 
+#include "drivers/clock.h"
 #include "drivers/edge/socket_options.h"
 
 #include <boost/asio/buffer.hpp>
@@ -13,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 
@@ -68,21 +70,23 @@
 
 asio::awaitable<Liveness> ProbeResponse(asio::any_io_executor aExecutor,
                                         std::string aAddress,
-                                        ProbeRequest aRequest)
+                                        ProbeRequest aRequest,
+                                        std::optional<Duration> aTimeout)
 {
+  const Instant end = aTimeout ? Now().steady + *aTimeout : Instant::max();
   const auto endpoint = ParseEndpoint(aAddress);
   if (!endpoint) {
     co_return Liveness::Gone;
   }
   beast::tcp_stream stream(aExecutor);
   boost::system::error_code error;
-  stream.expires_after(kConnectTimeout);
+  stream.expires_at(std::min(end, Now().steady + kConnectTimeout));
   co_await stream.async_connect(
     *endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     co_return LivenessOf(error);
   }
-  stream.expires_after(kAnswerTimeout);
+  stream.expires_at(std::min(end, Now().steady + kAnswerTimeout));
   co_await beast::http::async_write(
     stream, aRequest, asio::redirect_error(asio::use_awaitable, error));
   beast::flat_buffer buffer;
--- a/drivers/edge/liveness_probe.h
+++ b/drivers/edge/liveness_probe.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,12 +39,14 @@
  * Sends a request on a new connection; any response shows that the server
  * lives, except that of another server at its address (421).
  *
- * Returns within `kConnectTimeout` + `kAnswerTimeout`.
+ * Returns within `kConnectTimeout` + `kAnswerTimeout`, and within `aTimeout` if
+ * one is given.
  */
 boost::asio::awaitable<Liveness> ProbeResponse(
   boost::asio::any_io_executor aExecutor,
   std::string aAddress,
-  ProbeRequest aRequest);
+  ProbeRequest aRequest,
+  std::optional<Duration> aTimeout = std::nullopt);
 
 /** Several round trips between availability zones. */
 inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
--- a/servers/gateway/crash_detector.cpp
+++ b/servers/gateway/crash_detector.cpp
@@ -20,6 +20,9 @@
 /** Longer pauses between two looks for silent servers are those of this
  * process. */
 constexpr Duration kMaxExpireGap = std::chrono::milliseconds(400);
+/** A few round trips between availability zones. */
+constexpr Duration kUnheardAnswerTimeout =
+  UnansweredSends::kSilenceTime - UnansweredSends::kUnheardTime;
 
 } // namespace
 
@@ -205,6 +208,27 @@
   ReportCrash(key, aEvidence, liveness == Liveness::Silent);
 }
 
+asio::awaitable<void> CrashDetector::AskUnheard(BackendPtr aBackend)
+{
+  const BackendKey key = UnansweredSends::IncarnationOf(*aBackend);
+  Liveness liveness = Liveness::Silent;
+  {
+    const ScopeExit end([this, &key, &liveness] {
+      sends_.OnQuestionEnd(key, liveness == Liveness::Alive, Now().steady);
+    });
+    ProbeRequest question = handlers_.makeQuestion(*aBackend);
+    liveness =
+      co_await ProbeResponse(loop_.get_executor(),
+                             aBackend->address,
+                             std::move(question),
+                             kUnheardAnswerTimeout + handlers_.readLag());
+  }
+  handlers_.onProbe(liveness);
+  if (liveness != Liveness::Alive) {
+    ReportSilences();
+  }
+}
+
 void CrashDetector::ReportCrash(const BackendKey& aKey,
                                 std::string_view aEvidence,
                                 bool aWasSilent)
@@ -264,6 +288,13 @@
     sends_.OnOwnPause(now);
   }
   lastExpiredAt_ = now;
+  for (const BackendPtr& server : sends_.TakeUnheard(now)) {
+    if (handlers_.mayAsk(*server)) {
+      tasks_.Spawn("crash-question", AskUnheard(server));
+    } else {
+      sends_.OnQuestionEnd(UnansweredSends::IncarnationOf(*server), false, now);
+    }
+  }
   ReportSilences();
   for (const BackendPtr& server : sends_.TakeUnexplained(now)) {
     tasks_.Spawn("crash-question", Ask(server, "silent"));
--- a/servers/gateway/crash_detector.h
+++ b/servers/gateway/crash_detector.h
@@ -31,6 +31,9 @@
  * refuse a new connection, the registry must list a new incarnation of it, or
  * it must leave a question unanswered after the registry has removed it or
  * after a long silence. A server that has said that it leaves doesn't crash.
+ *
+ * A server that has not been heard for a while is asked as well, before it is
+ * reported as silent: peers need not hear of one that is busy.
  */
 class CrashDetector
 {
@@ -51,6 +54,10 @@
   using LeavingCheck = std::function<bool(const BackendRecord&)>;
   /** Whether a connection to a server that was opened before a time is open. */
   using ConnectionCheck = std::function<bool(const BackendRecord&, Instant)>;
+  /** Whether a server may be asked now. */
+  using AskCheck = std::function<bool(const BackendRecord&)>;
+  /** By how much this process handles an answer late. */
+  using LagReader = std::function<Duration()>;
   /** A request that each server answers at once, and none executes. */
   using QuestionMaker = std::function<ProbeRequest(const BackendRecord&)>;
 
@@ -64,6 +71,8 @@
     ProbeHandler onProbe;
     LeavingCheck isLeaving;
     ConnectionCheck hasConnection;
+    AskCheck mayAsk;
+    LagReader readLag;
     QuestionMaker makeQuestion;
   };
 
@@ -110,6 +119,8 @@
 private:
   using BackendKey = UnansweredSends::Incarnation;
 
+  /** Asks a server whether it lives; reports its silence if not. */
+  boost::asio::awaitable<void> AskUnheard(BackendPtr aBackend);
   /** Reports servers that have fallen silent. */
   void ReportSilences();
   /** Starts a probe, unless one runs. */
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -79,6 +79,11 @@
   handlers.hasConnection = [this](const BackendRecord& aBackend, Instant aAt) {
     return state_.pool.HasIdleSince(aBackend.address, aAt);
   };
+  handlers.mayAsk = [this](const BackendRecord& aBackend) {
+    return state_.permissions.Ask(aBackend, LimitPlace::Open, Now().steady)
+      .IsGranted();
+  };
+  handlers.readLag = [this] { return state_.loopLag.At(Now().steady); };
   handlers.makeQuestion = ToLivenessQuestion;
   return handlers;
 }
--- a/tests/cell/test_unnoticed_end.cpp
+++ b/tests/cell/test_unnoticed_end.cpp
@@ -343,6 +343,27 @@
   CHECK(guilty.Served() * 20 >= guilty.Sent() * 19);
 }
 
+TEST_CASE_FIXTURE(UnnoticedEndFixture,
+                  "[UnnoticedEnd] gateways tell each other nothing of servers "
+                  "that are busy with a request for longer than a silence")
+{
+  cell.Run([&] {
+    for (auto& server : cell.PlainServers()) {
+      server->Faults().delayFactor = 40.0;
+    }
+  });
+  guilty.Start([this] { return MakeRequest(cell, "/read/slow"); },
+               kRepeatInterval);
+  std::this_thread::sleep_for(seconds(4));
+  guilty.Stop();
+  CHECK(guilty.Served() > 10);
+  for (const CellGateway& gateway : cell.Gateways()) {
+    const std::string metrics = cell.Get(gateway, "/metrics");
+    CHECK(metrics.find("gypsum_backend_silences_total") == std::string::npos);
+    CHECK(metrics.find("gypsum_crash_reports_total") == std::string::npos);
+  }
+}
+
 TEST_CASE_FIXTURE(UnnoticedEndFixture,
                   "[UnnoticedEnd] servers that fall silent together and again "
                   "leave sound requests served")
--- a/tests/gateway/test_unanswered_sends.cpp
+++ b/tests/gateway/test_unanswered_sends.cpp
@@ -74,6 +74,44 @@
   CHECK(sends.TakeSilences(now + seconds(3)).empty());
 }
 
+TEST_CASE_FIXTURE(
+  UnansweredSendsFixture,
+  "[UnansweredSends] a server is asked once before it counts as "
+  "silent, and does not while it answers")
+{
+  const auto server1 = UnansweredSends::IncarnationOf(*server);
+  Send("aa");
+  CHECK(sends.TakeUnheard(now + milliseconds(250)).empty());
+  CHECK(sends.TakeUnheard(now + milliseconds(350)).size() == 1);
+  CHECK(sends.TakeUnheard(now + milliseconds(390)).empty());
+  CHECK(sends.TakeSilences(now + milliseconds(450)).empty());
+  SUBCASE("it answers")
+  {
+    sends.OnQuestionEnd(server1, true, now + milliseconds(460));
+    CHECK(sends.TakeSilences(now + milliseconds(850)).empty());
+    CHECK(sends.TakeUnheard(now + milliseconds(850)).size() == 1);
+  }
+  SUBCASE("it does not")
+  {
+    sends.OnQuestionEnd(server1, false, now + milliseconds(460));
+    CHECK(sends.TakeSilences(now + milliseconds(460)).size() == 1);
+    CHECK(sends.TakeUnheard(now + seconds(2)).empty());
+  }
+}
+
+TEST_CASE_FIXTURE(UnansweredSendsFixture,
+                  "[UnansweredSends] a send that was given up is no sign of "
+                  "silence once its server has answered a question since")
+{
+  const auto server1 = UnansweredSends::IncarnationOf(*server);
+  sends.OnGivenUp(Send("left"), now);
+  CHECK(sends.TakeUnheard(now + milliseconds(350)).size() == 1);
+  sends.OnQuestionEnd(server1, true, now + milliseconds(360));
+  CHECK(sends.TakeUnheard(now + seconds(2)).empty());
+  CHECK(sends.TakeSilences(now + seconds(2)).empty());
+  CHECK(End().requests == 1);
+}
+
 TEST_CASE_FIXTURE(UnansweredSendsFixture,
                   "[UnansweredSends] a server that responds to others, here or "
                   "at a peer, is not silent until it stops")
