Visit only the peer sockets that have something to read

Cause: each turn of the peer transport listed and polled a socket for each peer, and a turn came with each message received and each batch sent. The cost of a message grew with the fleet, that of the fleet with its square. Beyond 1,022 peers no socket could be opened at all, as the library's default allows 1,023 of them.

Change: an epoll set that is kept between turns, with the descriptor of each socket; a socket is drained when it is readable or was sent on. The limit of sockets is raised.

Why it works: a socket's descriptor is readable when there is news that the library has not taken off yet; after a drain there is none left.

--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -5,11 +5,16 @@
 #include "kernel/signal_block.h"
 
 #include <boost/json/object.hpp>
+#include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <exception>
+#include <set>
+#include <span>
 #include <string_view>
 #include <system_error>
 #include <utility>
@@ -22,9 +27,19 @@
 constexpr int kMaxQueuedMessages = 10'000; ///< Per connection.
 constexpr int kReconnectMs = 50;
 constexpr int kMaxReconnectMs = 1'000;
-constexpr std::chrono::milliseconds kPollTimeout{ 1'000 };
+constexpr int kPollTimeoutMs = 1'000;
+constexpr std::size_t kMaxEventsPerTurn = 64;
+/** Of one process; the library's default is less than a large fleet needs. */
+constexpr int kMaxSockets = 16'384;
 constexpr std::int64_t kMaxMessageBytes = 96LL * 1024 * 1024;
 
+zmq::context_t MakeContext()
+{
+  zmq::context_t context(1);
+  context.set(zmq::ctxopt::max_sockets, kMaxSockets);
+  return context;
+}
+
 void SetCommonOptions(zmq::socket_t& aSocket)
 {
   aSocket.set(zmq::sockopt::linger, 0);
@@ -42,11 +57,13 @@
 
 PeerTransport::PeerTransport(std::string aBindAddress)
   : bindAddress_(std::move(aBindAddress))
+  , context_(MakeContext())
   , router_(context_, zmq::socket_type::router)
   , wakeDescriptor_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+  , pollDescriptor_(epoll_create1(EPOLL_CLOEXEC))
 {
-  if (wakeDescriptor_ < 0) {
-    throw std::system_error(errno, std::generic_category(), "eventfd");
+  if (wakeDescriptor_ < 0 || pollDescriptor_ < 0) {
+    throw std::system_error(errno, std::generic_category(), "peer transport");
   }
   SetCommonOptions(router_);
   router_.set(zmq::sockopt::router_mandatory, true);
@@ -55,6 +72,7 @@
 PeerTransport::~PeerTransport()
 {
   Stop();
+  close(pollDescriptor_);
   close(wakeDescriptor_);
 }
 
@@ -84,6 +102,8 @@
 void PeerTransport::Start(Kernel& /*aKernel*/)
 {
   router_.bind("tcp://" + bindAddress_);
+  Watch(wakeDescriptor_, nullptr);
+  Watch(router_.get(zmq::sockopt::fd), &router_);
   const SignalBlock signals;
   thread_ = std::thread([this] { Run(); });
 }
@@ -127,33 +147,52 @@
   SendQueued();
 }
 
+void PeerTransport::Watch(int aDescriptor, zmq::socket_t* aSocket)
+{
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.ptr = aSocket;
+  if (epoll_ctl(pollDescriptor_, EPOLL_CTL_ADD, aDescriptor, &event) != 0) {
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  }
+}
+
 void PeerTransport::RunOnce()
 {
-  pollItems_.assign({ { nullptr, wakeDescriptor_, ZMQ_POLLIN, 0 },
-                      { router_.handle(), 0, ZMQ_POLLIN, 0 } });
-  for (auto& [address, dealer] : dealers_) {
-    pollItems_.push_back({ dealer.handle(), 0, ZMQ_POLLIN, 0 });
+  std::array<epoll_event, kMaxEventsPerTurn> events{};
+  const int count = epoll_wait(pollDescriptor_,
+                               events.data(),
+                               static_cast<int>(events.size()),
+                               kPollTimeoutMs);
+  if (count < 0 && errno != EINTR) {
+    throw std::system_error(errno, std::generic_category(), "epoll_wait");
   }
-  zmq::poll(pollItems_, kPollTimeout);
   ++turns_;
-  socketsVisited_ += pollItems_.size() - 1;
-  if ((pollItems_[1].revents & ZMQ_POLLIN) != 0) {
-    ReceiveRouted();
-  }
-  // Only `SendQueued` adds dealers.
-  auto item = pollItems_.begin() + 2;
-  for (auto& [address, dealer] : dealers_) {
-    if ((item->revents & ZMQ_POLLIN) != 0) {
-      ReceiveReplies(dealer);
+  bool isWoken = false;
+  for (const epoll_event& event :
+       std::span(events).first(static_cast<std::size_t>(std::max(0, count)))) {
+    if (event.data.ptr) {
+      Drain(*static_cast<zmq::socket_t*>(event.data.ptr));
+    } else {
+      isWoken = true;
     }
-    ++item;
   }
-  if ((pollItems_[0].revents & ZMQ_POLLIN) != 0) {
+  if (isWoken) {
     SendQueued();
   }
   processorTime_ = ThreadProcessorTime().count();
 }
 
+void PeerTransport::Drain(zmq::socket_t& aSocket)
+{
+  ++socketsVisited_;
+  if (&aSocket == &router_) {
+    ReceiveRouted();
+  } else {
+    ReceiveReplies(aSocket);
+  }
+}
+
 void PeerTransport::SendQueued()
 {
   eventfd_t count = 0;
@@ -163,16 +202,26 @@
     const std::lock_guard lock(mutex_);
     batch.swap(outgoing_);
   }
+  std::set<zmq::socket_t*> used;
   for (const Outgoing& outgoing : batch) {
-    Transmit(outgoing);
+    if (zmq::socket_t* const socket = Transmit(outgoing)) {
+      used.insert(socket);
+    }
+  }
+  // Sending also takes the news of received messages off the descriptor, which
+  // then no longer shows them.
+  for (zmq::socket_t* const socket : used) {
+    Drain(*socket);
   }
 }
 
-void PeerTransport::Transmit(const Outgoing& aOutgoing)
+zmq::socket_t* PeerTransport::Transmit(const Outgoing& aOutgoing)
 {
+  zmq::socket_t* used = nullptr;
   try {
     zmq::socket_t& socket =
       aOutgoing.isReply ? router_ : FindOrConnectDealer(aOutgoing.target);
+    used = &socket;
     if (aOutgoing.isReply) {
       socket.send(zmq::buffer(aOutgoing.target),
                   zmq::send_flags::sndmore | zmq::send_flags::dontwait);
@@ -182,14 +231,15 @@
     if (size) {
       ++sent_;
       bytesSent_ += aOutgoing.bytes.size();
-      return;
+      return used;
     }
-  } catch (const zmq::error_t& error) {
+  } catch (const std::exception& error) {
     Log(Severity::Debug,
         kComponent,
         std::string("message not sent: ") + error.what());
   }
   ++dropped_;
+  return used;
 }
 
 zmq::socket_t& PeerTransport::FindOrConnectDealer(const std::string& aAddress)
@@ -206,7 +256,14 @@
   dealer.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   dealer.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
   dealer.connect("tcp://" + aAddress);
-  return dealers_.emplace(aAddress, std::move(dealer)).first->second;
+  const auto added = dealers_.emplace(aAddress, std::move(dealer)).first;
+  try {
+    Watch(added->second.get(zmq::sockopt::fd), &added->second);
+  } catch (...) {
+    dealers_.erase(added);
+    throw;
+  }
+  return added->second;
 }
 
 void PeerTransport::ReceiveRouted()
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -29,7 +29,8 @@
  *
  * A ROUTER socket receives requests from peers and sends the replies. A DEALER
  * socket per target address sends requests and receives their replies. One
- * thread owns all sockets.
+ * thread owns all sockets, and visits only those that have events or that it
+ * has just sent on: the cost of a message does not grow with the peers.
  */
 class PeerTransport
 {
@@ -67,7 +68,7 @@
   struct Work
   {
     std::uint64_t turns = 0;          ///< Waits for events that have ended.
-    std::uint64_t socketsVisited = 0; ///< Asked whether they have events.
+    std::uint64_t socketsVisited = 0; ///< Asked for received messages.
     std::uint64_t sent = 0;           ///< Messages.
     std::uint64_t received = 0;       ///< Messages.
     ProcessorTime time{};
@@ -89,20 +90,26 @@
   void RunOnce();
   void Enqueue(Outgoing aOutgoing);
   void SendQueued();
-  void Transmit(const Outgoing& aOutgoing);
+  /** Sends a message; returns the socket, null if none could be opened. */
+  zmq::socket_t* Transmit(const Outgoing& aOutgoing);
+  /** Handles all messages that a socket has received. */
+  void Drain(zmq::socket_t& aSocket);
   void ReceiveRouted();
   void ReceiveReplies(zmq::socket_t& aSocket);
   void Deliver(Route aRoute, const zmq::message_t& aFrame);
   zmq::socket_t& FindOrConnectDealer(const std::string& aAddress);
+  /** Has `RunOnce` wait for events of a descriptor; `aSocket` is null for that
+   * of `Enqueue`. */
+  void Watch(int aDescriptor, zmq::socket_t* aSocket);
 
   std::string bindAddress_;
   Handler handler_;
   FailureHandler failureHandler_;
-  zmq::context_t context_{ 1 };
+  zmq::context_t context_;
   zmq::socket_t router_;
   std::map<std::string, zmq::socket_t> dealers_;
-  std::vector<zmq::pollitem_t> pollItems_; ///< Kept for its memory.
-  int wakeDescriptor_ = -1;
+  int wakeDescriptor_ = -1; ///< Readable while messages are queued.
+  int pollDescriptor_ = -1; ///< Of epoll; knows all sockets and the wake.
   std::mutex mutex_;
   std::vector<Outgoing> outgoing_;
   std::atomic<bool> isStopping_ = false;
--- a/tests/drivers/test_peer_transport.h
+++ b/tests/drivers/test_peer_transport.h
@@ -121,6 +121,93 @@
   }
 }
 
+/** Many peers behind one socket, each with a loopback address of its own. */
+class ManyPeers
+{
+public:
+  explicit ManyPeers(int aCount)
+  {
+    router_.set(zmq::sockopt::linger, 0);
+    router_.bind("tcp://0.0.0.0:*");
+    const std::string bound = router_.get(zmq::sockopt::last_endpoint);
+    const std::string port = bound.substr(bound.rfind(':'));
+    constexpr int kPerNetwork = 250;
+    for (int peer = 0; peer < aCount; ++peer) {
+      addresses_.push_back("127.7." + std::to_string(peer / kPerNetwork) + "." +
+                           std::to_string(1 + peer % kPerNetwork) + port);
+    }
+  }
+
+  const std::vector<std::string>& Addresses() const { return addresses_; }
+
+private:
+  zmq::context_t context_{ 1 };
+  zmq::socket_t router_{ context_, zmq::socket_type::router };
+  std::vector<std::string> addresses_;
+};
+
+TEST_CASE("[PeerTransport] a message costs a visit to its socket only, however "
+          "many peers there are")
+{
+  constexpr std::uint64_t kMessages = 20;
+  constexpr std::uint64_t kMaxVisitsPerMessage = 2;
+  int peers = 0;
+  SUBCASE("5 peers")
+  {
+    peers = 5;
+  }
+  SUBCASE("68 peers")
+  {
+    peers = 68;
+  }
+  SUBCASE("300 peers")
+  {
+    peers = 300;
+  }
+  SUBCASE("1338 peers")
+  {
+    peers = 1'338;
+  }
+  const ManyPeers many(peers);
+  const std::string address = FreeAddress();
+  TestPeer gateway(address);
+  const auto handled = [&] {
+    return gateway.Count("sent") + gateway.Count("dropped");
+  };
+  // A message without a connection is dropped.
+  REQUIRE(WaitUntil([&] {
+    const std::uint64_t sent = gateway.Count("sent");
+    const std::uint64_t before = handled();
+    for (const std::string& peer : many.Addresses()) {
+      gateway.Send(peer, 1);
+    }
+    const std::uint64_t count = many.Addresses().size();
+    return WaitUntil([&] { return handled() >= before + count; }) &&
+           gateway.Count("sent") >= sent + count;
+  }));
+  TestPeer sender(FreeAddress());
+  REQUIRE(WaitUntil([&] {
+    sender.Send(address, 2);
+    return !gateway.Received().empty();
+  }));
+  const std::uint64_t received = gateway.Received().size();
+  const std::uint64_t visited = gateway.Count("sockets_visited");
+  for (std::uint64_t message = 1; message <= kMessages; ++message) {
+    sender.Send(address, 3);
+    REQUIRE(WaitUntil(
+      [&] { return gateway.Received().size() >= received + message; }));
+  }
+  const std::uint64_t visitedToReceive = gateway.Count("sockets_visited");
+  CHECK(visitedToReceive - visited <= kMaxVisitsPerMessage * kMessages);
+  const std::uint64_t sent = gateway.Count("sent");
+  for (std::uint64_t message = 1; message <= kMessages; ++message) {
+    gateway.Send(many.Addresses().front(), 4);
+    REQUIRE(WaitUntil([&] { return gateway.Count("sent") >= sent + message; }));
+  }
+  CHECK(gateway.Count("sockets_visited") - visitedToReceive <=
+        kMaxVisitsPerMessage * kMessages);
+}
+
 TEST_CASE("[PeerTransport] malformed input does not affect other messages")
 {
   const std::string address = FreeAddress();
