Estimate a server's load from the peers that use it

Cause: the estimate of one server looked for it in the last report of each peer, and a choice estimates each server of the service. So a choice cost servers times peers: 117 x 67 lookups on the large site, several times for each request.

Change: what peers report is kept by server. A report replaces the former one of its peer.

--- a/core/gateway/backend_loads.cpp
+++ b/core/gateway/backend_loads.cpp
@@ -124,12 +124,16 @@
                                 std::vector<BackendLoad> aLoads,
                                 Instant aNow)
 {
-  PeerReport& report = peers_[std::string(aPeer)];
-  report.at = aNow;
-  report.loads.clear();
+  RemovePeer(aPeer);
+  if (aLoads.empty()) {
+    return;
+  }
+  std::vector<std::string>& servers = reported_[std::string(aPeer)];
   for (BackendLoad& load : aLoads) {
-    std::string id = load.id;
-    report.loads.emplace(std::move(id), std::move(load));
+    servers.push_back(load.id);
+    PeerLoads& loads = peerLoads_[load.id];
+    loads.insert_or_assign(std::string(aPeer),
+                           PeerLoad{ std::move(load), aNow });
   }
 }
 
@@ -148,10 +152,24 @@
 
 void BackendLoads::RemovePeer(std::string_view aPeer)
 {
-  const auto found = peers_.find(aPeer);
-  if (found != peers_.end()) {
-    peers_.erase(found);
+  const auto reported = reported_.find(aPeer);
+  if (reported == reported_.end()) {
+    return;
   }
+  for (const std::string& server : reported->second) {
+    const auto loads = peerLoads_.find(server);
+    if (loads == peerLoads_.end()) {
+      continue;
+    }
+    const auto load = loads->second.find(aPeer);
+    if (load != loads->second.end()) {
+      loads->second.erase(load);
+    }
+    if (loads->second.empty()) {
+      peerLoads_.erase(loads);
+    }
+  }
+  reported_.erase(reported);
 }
 
 LoadEstimate BackendLoads::Estimate(std::string_view aId, Instant aNow) const
@@ -173,20 +191,20 @@
            kPromptTokensPerMs;
   };
   double reported = 0.0;
-  for (const auto& [name, report] : peers_) {
+  static const PeerLoads kNone;
+  const auto loads = peerLoads_.find(aId);
+  for (const auto& [peer, report] :
+       loads == peerLoads_.end() ? kNone : loads->second) {
+    ++peerLoadsVisited_;
     if (aNow - report.at > kPeerReportMaxAge) {
       continue;
     }
-    const auto load = report.loads.find(aId);
-    if (load != report.loads.end()) {
-      estimate.isSuspect = estimate.isSuspect || load->second.isUnresponsive;
-      estimate.running += load->second.running;
-      // The replica has gone on processing prompts since the report.
-      reported +=
-        std::max(0.0,
-                 static_cast<double>(load->second.pendingPromptTokens) -
-                   tokensIn(aNow - report.at));
-    }
+    estimate.isSuspect = estimate.isSuspect || report.load.isUnresponsive;
+    estimate.running += report.load.running;
+    // The replica has gone on processing prompts since the report.
+    reported += std::max(0.0,
+                         static_cast<double>(report.load.pendingPromptTokens) -
+                           tokensIn(aNow - report.at));
   }
   const auto doneAt = peerPromptsDoneAt_.find(aId);
   const double announced =
--- a/core/gateway/backend_loads.h
+++ b/core/gateway/backend_loads.h
@@ -111,6 +111,8 @@
   void RemovePeer(std::string_view aPeer);
 
   LoadEstimate Estimate(std::string_view aId, Instant aNow) const;
+  /** Loads of peers that all estimates so far have looked at. */
+  std::uint64_t PeerLoadsVisited() const { return peerLoadsVisited_; }
   /** Load of this gateway, to report to its peers; omits idle servers, unless
    * they are to be avoided. */
   std::vector<BackendLoad> OwnLoads(Instant aNow) const;
@@ -140,16 +142,23 @@
       return aNow < avoidedUntil || IsUnresponsive(aNow);
     }
   };
-  struct PeerReport
+  /** What a peer has reported of one server. */
+  struct PeerLoad
   {
+    BackendLoad load;
     Instant at{};
-    std::map<std::string, BackendLoad, std::less<>> loads;
   };
+  using PeerLoads = std::map<std::string, PeerLoad, std::less<>>;
 
   LocalLoad& LocalLoadOf(std::string_view aId);
 
   std::map<std::string, LocalLoad, std::less<>> localLoads_;
-  std::map<std::string, PeerReport, std::less<>> peers_;
+  /** By server and then peer: an estimate looks only at the peers that use the
+   * server. */
+  std::map<std::string, PeerLoads, std::less<>> peerLoads_;
+  /** Servers in the last report of each peer. */
+  std::map<std::string, std::vector<std::string>, std::less<>> reported_;
+  mutable std::uint64_t peerLoadsVisited_ = 0;
   /** When servers will have processed the prompts that peers announced, at
    * `kPromptTokensPerMs`. */
   std::map<std::string, Instant, std::less<>> peerPromptsDoneAt_;
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -339,4 +339,51 @@
   CHECK_FALSE(ChooseReplica(backends, criteria, loads, now));
 }
 
+TEST_CASE("[BackendLoads] an estimate looks at the peers that use the server, "
+          "however many peers there are")
+{
+  constexpr int kServersOfPeer = 3;
+  int peers = 0;
+  SUBCASE("5 peers")
+  {
+    peers = 5;
+  }
+  SUBCASE("68 peers")
+  {
+    peers = 68;
+  }
+  SUBCASE("300 peers")
+  {
+    peers = 300;
+  }
+  SUBCASE("1338 peers")
+  {
+    peers = 1'338;
+  }
+  const Instant now{ std::chrono::seconds(100) };
+  const int servers = 3 * peers;
+  BackendLoads loads;
+  const auto report = [&](int aPeer, std::uint32_t aRunning) {
+    std::vector<BackendLoad> own;
+    for (int index = 0; index < kServersOfPeer; ++index) {
+      own.push_back(
+        { "i-" + std::to_string((aPeer + index * peers) % servers), aRunning });
+    }
+    loads.OnPeerReport("gw-" + std::to_string(aPeer), std::move(own), now);
+  };
+  for (int peer = 0; peer < peers; ++peer) {
+    report(peer, 5);
+    report(peer, 2);
+  }
+  double running = 0.0;
+  for (int server = 0; server < servers; ++server) {
+    running += loads.Estimate("i-" + std::to_string(server), now).running;
+  }
+  CHECK(running == 2.0 * kServersOfPeer * peers);
+  CHECK(loads.PeerLoadsVisited() ==
+        static_cast<std::uint64_t>(kServersOfPeer * peers));
+  loads.RemovePeer("gw-0");
+  CHECK(loads.Estimate("i-0", now).running == 0.0);
+}
+
 } // namespace gypsum::tests
