Forget what belongs to unlisted servers without copying the registry

Cause: five times a second each gateway copied all entries of the registry to learn which software versions are listed, and compared each server that it had a load or prompt of with each listed one: servers times servers. Each change of a server copied all entries twice as well.

Change: the registry keeps the listed versions, and says of one id whether it is listed. What is kept of servers asks that once each.

Measured: '[BackendLoads] forgetting servers that are not listed asks once for each that was used' (229 questions for 229 servers, up to 52,441 comparisons before); [BackendRegistry], [BackendLimits], [ServiceVersions] pass.

--- a/core/gateway/backend_limits.cpp
+++ b/core/gateway/backend_limits.cpp
@@ -84,12 +84,4 @@
   return all;
 }
 
-void BackendLimits::Retain(std::span<const std::string_view> aIds, Instant aNow)
-{
-  std::erase_if(entries_, [&](const auto& aItem) {
-    return aNow - aItem.second.at >= kMemory &&
-           std::ranges::find(aIds, aItem.first.first) == aIds.end();
-  });
-}
-
 } // namespace gypsum
--- a/core/gateway/backend_limits.h
+++ b/core/gateway/backend_limits.h
@@ -3,10 +3,10 @@
 #include "core/gateway/backend_registry.h"
 #include "core/time.h"
 
+#include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -78,8 +78,14 @@
                       Instant aNow) const;
   /** All words, also of limits that have ended. */
   std::vector<BackendLimit> All(Instant aNow) const;
-  /** Drops old words on servers that are not in the list. */
-  void Retain(std::span<const std::string_view> aIds, Instant aNow);
+  /** Drops old words on servers that are not listed. */
+  template<std::predicate<std::string_view> IsListed>
+  void Retain(IsListed aIsListed, Instant aNow)
+  {
+    std::erase_if(entries_, [&](const auto& aItem) {
+      return aNow - aItem.second.at >= kMemory && !aIsListed(aItem.first.first);
+    });
+  }
 
 private:
   using Key = std::pair<std::string, std::uint64_t>;
--- a/core/gateway/backend_loads.cpp
+++ b/core/gateway/backend_loads.cpp
@@ -231,15 +231,4 @@
   return loads;
 }
 
-void BackendLoads::Retain(std::span<const std::string_view> aIds)
-{
-  std::erase_if(localLoads_, [&](const auto& aItem) {
-    return aItem.second.running == 0 &&
-           std::ranges::find(aIds, aItem.first) == aIds.end();
-  });
-  std::erase_if(peerPromptsDoneAt_, [&](const auto& aItem) {
-    return std::ranges::find(aIds, aItem.first) == aIds.end();
-  });
-}
-
 } // namespace gypsum
--- a/core/gateway/backend_loads.h
+++ b/core/gateway/backend_loads.h
@@ -2,9 +2,9 @@
 
 #include "core/time.h"
 
+#include <concepts>
 #include <cstdint>
 #include <map>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -116,8 +116,17 @@
   /** Load of this gateway, to report to its peers; omits idle servers, unless
    * they are to be avoided. */
   std::vector<BackendLoad> OwnLoads(Instant aNow) const;
-  /** Drops the state of idle servers that are not in the list. */
-  void Retain(std::span<const std::string_view> aIds);
+  /** Drops the state of idle servers that are not listed; asks once for each
+   * server that it has a state of. */
+  template<std::predicate<std::string_view> IsListed>
+  void Retain(IsListed aIsListed)
+  {
+    std::erase_if(localLoads_, [&](const auto& aItem) {
+      return aItem.second.running == 0 && !aIsListed(aItem.first);
+    });
+    std::erase_if(peerPromptsDoneAt_,
+                  [&](const auto& aItem) { return !aIsListed(aItem.first); });
+  }
 
 private:
   struct LocalLoad
--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -290,10 +290,12 @@
 {
   usable_.clear();
   byAddress_.clear();
+  versions_.clear();
   for (const auto& [id, entry] : entries_) {
     if (!entry.record) {
       continue;
     }
+    versions_.insert({ entry.record->service, entry.record->version });
     // When an address is reused by another server, two entries may name it for
     // a while: the server that started later owns it.
     BackendPtr& owner = byAddress_[entry.record->address];
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -62,6 +62,14 @@
   bool operator==(const LeavingBackend&) const = default;
 };
 
+/** A version of the software of a service. */
+struct ServiceVersion
+{
+  std::string service;
+  std::string version;
+  auto operator<=>(const ServiceVersion&) const = default;
+};
+
 /** Effect of a registry change, for the log. */
 struct RegistryEvent
 {
@@ -131,6 +139,11 @@
     return IsListed({ aBackend.id, aBackend.startedMs });
   }
 
+  /** Whether any incarnation of a server is listed. */
+  bool Lists(std::string_view aId) const { return entries_.contains(aId); }
+  /** Software versions of all listed servers. */
+  const std::set<ServiceVersion>& Versions() const { return versions_; }
+
   StoreRevision Revision() const { return revision_; }
   /** All entries with their revisions, to send to a peer. */
   RegistrySnapshot Snapshot(Instant aNow) const;
@@ -160,6 +173,7 @@
   std::map<std::string, Entry, std::less<>> entries_;
   std::map<std::string, std::vector<BackendPtr>, std::less<>> usable_;
   std::map<std::string, BackendPtr, std::less<>> byAddress_;
+  std::set<ServiceVersion> versions_;
   std::map<Incarnation, Instant> leavingSince_;
   StoreRevision revision_;
   std::optional<Instant> reregistrationEndsAt_;
--- a/core/gateway/service_versions.cpp
+++ b/core/gateway/service_versions.cpp
@@ -4,13 +4,12 @@
 
 namespace gypsum {
 
-void ServiceVersions::Observe(const RegistrySnapshot& aRegistry, Instant aNow)
+void ServiceVersions::Observe(const std::set<ServiceVersion>& aListed,
+                              Instant aNow)
 {
-  for (const RegistryChange& entry : aRegistry.entries) {
-    if (entry.record) {
-      lastListedAt_[{ entry.record->service, entry.record->version }] = aNow;
-      observedSince_ = std::min(observedSince_, aNow);
-    }
+  for (const ServiceVersion& version : aListed) {
+    lastListedAt_[version] = aNow;
+    observedSince_ = std::min(observedSince_, aNow);
   }
   std::erase_if(lastListedAt_, [&](const auto& aItem) {
     return aItem.second + kMemory < aNow;
--- a/core/gateway/service_versions.h
+++ b/core/gateway/service_versions.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,7 +20,7 @@
   static constexpr Duration kMemory = std::chrono::seconds(60);
 
   /** Takes in the listed versions; call before and after each change. */
-  void Observe(const RegistrySnapshot& aRegistry, Instant aNow);
+  void Observe(const std::set<ServiceVersion>& aListed, Instant aNow);
   /** Versions of a service that were listed at some time since then. */
   std::vector<std::string> ListedSince(std::string_view aService,
                                        Instant aThen) const;
@@ -27,14 +28,7 @@
   bool Covers(Instant aThen, Instant aNow) const;
 
 private:
-  struct Version
-  {
-    std::string service;
-    std::string version;
-    auto operator<=>(const Version&) const = default;
-  };
-
-  std::map<Version, Instant> lastListedAt_;
+  std::map<ServiceVersion, Instant> lastListedAt_;
   Instant observedSince_ = Instant::max();
 };
 
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -120,7 +120,7 @@
 
 void PlatformState::ObserveVersions()
 {
-  state_.versions.Observe(state_.registry.Snapshot(Now().steady), Now().steady);
+  state_.versions.Observe(state_.registry.Versions(), Now().steady);
 }
 
 void PlatformState::OnStoreCallSucceeded()
@@ -155,14 +155,12 @@
 void PlatformState::Expire()
 {
   OnRegistryEvents(state_.registry.Expire(Now().steady), "store");
-  const RegistrySnapshot snapshot = state_.registry.Snapshot(Now().steady);
-  state_.versions.Observe(snapshot, Now().steady);
-  std::vector<std::string_view> known;
-  for (const RegistryChange& entry : snapshot.entries) {
-    known.push_back(entry.id);
-  }
-  state_.loads.Retain(known);
-  state_.limits.Retain(known, Now().steady);
+  ObserveVersions();
+  const auto isListed = [this](std::string_view aId) {
+    return state_.registry.Lists(aId);
+  };
+  state_.loads.Retain(isListed);
+  state_.limits.Retain(isListed, Now().steady);
 }
 
 } // namespace gypsum
--- a/tests/gateway/test_backend_limits.cpp
+++ b/tests/gateway/test_backend_limits.cpp
@@ -119,12 +119,13 @@
                   "until its server has gone")
 {
   limits.OnStatement(server, Limit(1.0), now);
-  const std::array<std::string_view, 1> listed{ "i-1" };
-  limits.Retain(listed, now + BackendLimits::kMemory * 10);
+  const auto isListed = [](std::string_view aId) { return aId == "i-1"; };
+  const auto isGone = [](std::string_view /*aId*/) { return false; };
+  limits.Retain(isListed, now + BackendLimits::kMemory * 10);
   CHECK(limits.Find(server) == 1.0);
-  limits.Retain({}, now + BackendLimits::kMemory - seconds(1));
+  limits.Retain(isGone, now + BackendLimits::kMemory - seconds(1));
   CHECK(limits.Find(server));
-  limits.Retain({}, now + BackendLimits::kMemory);
+  limits.Retain(isGone, now + BackendLimits::kMemory);
   CHECK_FALSE(limits.Find(server));
   CHECK(limits.All(now).empty());
 }
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -344,4 +344,24 @@
   }
 }
 
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] the listed software versions follow the "
+                  "entries, draining ones included")
+{
+  CHECK(registry.Versions().empty());
+  for (std::uint64_t server = 1; server <= 20; ++server) {
+    Add(Record("a" + std::to_string(server), std::to_string(server)), server);
+  }
+  CHECK(registry.Versions() == std::set<ServiceVersion>{ { "model", "v1" } });
+  BackendRecord next = Record("b", "b");
+  next.version = "v2";
+  next.isDraining = true;
+  Add(next, 30);
+  CHECK(registry.Versions().size() == 2);
+  CHECK(registry.Lists("b"));
+  Remove("b", 31);
+  CHECK(registry.Versions().size() == 1);
+  CHECK_FALSE(registry.Lists("b"));
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -386,4 +386,25 @@
   CHECK(loads.Estimate("i-0", now).running == 0.0);
 }
 
+TEST_CASE("[BackendLoads] forgetting servers that are not listed asks once for "
+          "each that was used")
+{
+  constexpr int kServers = 229;
+  const Instant now{ std::chrono::seconds(100) };
+  BackendLoads loads;
+  for (int server = 0; server < kServers; ++server) {
+    const std::string id = "i-" + std::to_string(server);
+    loads.OnSent(id, 0, Duration{}, now);
+    loads.OnEnded(id, 0, SendOutcome::Unreachable, now);
+  }
+  int questions = 0;
+  loads.Retain([&](std::string_view aId) {
+    ++questions;
+    return aId != "i-7";
+  });
+  CHECK(questions == kServers);
+  CHECK_FALSE(loads.Estimate("i-7", now).isSuspect);
+  CHECK(loads.Estimate("i-8", now).isSuspect);
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_stream_resume.cpp
+++ b/tests/gateway/test_stream_resume.cpp
@@ -23,17 +23,14 @@
     return { { aAttempt, "model", aVersion }, aExpiresIn };
   }
 
-  static RegistrySnapshot Registry(const std::vector<std::string>& aVersions)
+  static std::set<ServiceVersion> Listed(
+    const std::vector<std::string>& aVersions)
   {
-    RegistrySnapshot registry{ { 0, 1 }, {} };
+    std::set<ServiceVersion> listed;
     for (const std::string& version : aVersions) {
-      BackendRecord record;
-      record.id = "i-" + std::to_string(registry.entries.size());
-      record.service = "model";
-      record.version = version;
-      registry.entries.push_back({ record.id, { 0, 1 }, record, false });
+      listed.insert({ "model", version });
     }
-    return registry;
+    return listed;
   }
 
   StreamOrigins origins;
@@ -78,10 +75,10 @@
                   "before it was last listed")
 {
   const Duration memory = ServiceVersions::kMemory;
-  versions.Observe(Registry({}), now);
+  versions.Observe(Listed({}), now);
   CHECK_FALSE(versions.Covers(now, now));
-  versions.Observe(Registry({ "v1", "v2" }), now);
-  versions.Observe(Registry({ "v2" }), now + seconds(5));
+  versions.Observe(Listed({ "v1", "v2" }), now);
+  versions.Observe(Listed({ "v2" }), now + seconds(5));
   const std::vector<std::string> second{ "v2" };
   CHECK(versions.ListedSince("model", now).size() == 2);
   CHECK(versions.ListedSince("model", now + Duration(1)) == second);
@@ -90,7 +87,7 @@
   CHECK(versions.Covers(now, now + seconds(5)));
   CHECK(versions.Covers(now, now + memory));
   CHECK_FALSE(versions.Covers(now, now + memory + Duration(1)));
-  versions.Observe(Registry({ "v2" }), now + memory + Duration(1));
+  versions.Observe(Listed({ "v2" }), now + memory + Duration(1));
   CHECK(versions.ListedSince("model", now) == second);
 }
 
@@ -182,7 +179,7 @@
       const std::size_t gateway = random() % kGateways;
       const auto observe = [&] {
         for (ServiceVersions& one : versions) {
-          one.Observe(ResumeFixture::Registry(listed), now);
+          one.Observe(ResumeFixture::Listed(listed), now);
         }
       };
       observe();
