Look for a newer version at peers only when one was claimed

Cause: twenty times a second each gateway looked up the claim of each live peer for each part of the store, although no peer knew more; and the check whether it reads the store itself built a set of all live peers each time.

Change: the newest claim so far is kept; without a newer one no peer is looked at. The live peers are searched as they come, sorted.

Measured: '[StoreKnowledge] no peer is looked at for a newer version while none has claimed one': 0 looked at, 68 a round before.

--- a/core/gateway/store_knowledge.cpp
+++ b/core/gateway/store_knowledge.cpp
@@ -3,7 +3,6 @@
 #include "core/hash.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -53,6 +52,7 @@
   Peer& peer = PeerOf(aPeer);
   peer.claim = aClaim;
   peer.claimedAt = aNow;
+  newestClaim_ = std::max(newestClaim_, aClaim.version);
 }
 
 void StoreKnowledge::OnAnswer(const std::string& aPeer,
@@ -130,14 +130,13 @@
 
 bool StoreKnowledge::IsReader(std::span<const std::string> aLive, Instant aNow)
 {
-  const std::set<std::string_view> live(aLive.begin(), aLive.end());
   std::size_t rank = 0;
   std::size_t readersBefore = 0;
   for (const auto& [address, peer] : peers_) {
     if (peer.weight <= ownWeight_) {
       continue;
     }
-    const bool isLive = live.contains(address);
+    const bool isLive = std::ranges::binary_search(aLive, address);
     rank += isLive ? 1 : 0;
     // A reader that has just fallen silent counts for a while: the claims of
     // those that follow it arrive later than the news that it is gone, and the
@@ -208,7 +207,9 @@
   std::span<const std::string> aLive,
   Instant aNow)
 {
-  if (fetchingSince_ && aNow - *fetchingSince_ < kFetchTimeout) {
+  const bool isFetching =
+    fetchingSince_ && aNow - *fetchingSince_ < kFetchTimeout;
+  if (newestClaim_ <= version_ || isFetching) {
     return std::nullopt;
   }
   const std::string* source = nullptr;
@@ -217,6 +218,7 @@
     return std::pair(aPeer.claim.version, aPeer.claimedAt);
   };
   for (const std::string& address : aLive) {
+    ++sourcesVisited_;
     const Peer* const peer = Find(address);
     const bool isCandidate = peer && peer->claim.version > version_ &&
                              !IsSilent(peer->fetchedAt, kFetchTimeout, aNow);
--- a/core/gateway/store_knowledge.h
+++ b/core/gateway/store_knowledge.h
@@ -102,7 +102,8 @@
   void OnVersion(StoreRevision aVersion);
   void RemovePeer(std::string_view aPeer);
 
-  /** Whether this gateway is to read the store now. */
+  /** Whether this gateway is to read the store now. The live peers are sorted.
+   */
   bool IsReader(std::span<const std::string> aLive, Instant aNow);
   /** The peer to ask now for its claim; empty if none is due. */
   std::optional<std::string> ChooseWitness(std::span<const std::string> aLive,
@@ -113,6 +114,9 @@
   std::optional<std::string> ChooseSource(std::span<const std::string> aLive,
                                           Instant aNow);
 
+  /** Peers that `ChooseSource` has looked at so far. */
+  std::uint64_t SourcesVisited() const { return sourcesVisited_; }
+
   StoreRevision Version() const { return version_; }
   KnowledgeClaim Claim(Instant aNow) const;
   /** Time since the own version is known to have been the newest. */
@@ -169,6 +173,8 @@
   /** The last request for a newer version, until one arrives. */
   std::optional<Instant> fetchingSince_;
   std::map<std::string, Peer, std::less<>> peers_;
+  StoreRevision newestClaim_; ///< Of all peers so far.
+  std::uint64_t sourcesVisited_ = 0;
 };
 
 } // namespace gypsum
--- a/tests/gateway/knowledge_fleet.h
+++ b/tests/gateway/knowledge_fleet.h
@@ -175,6 +175,7 @@
     std::size_t fetched = 0; ///< Versions that peers have fetched from it.
     PeerSightings sightings; ///< By the index of the peer.
     std::vector<std::string> live;
+    std::vector<std::string> sortedLive;
   };
   struct Event
   {
@@ -264,6 +265,8 @@
         node.live.push_back(nodes_[peer].address);
       }
     }
+    node.sortedLive = node.live;
+    std::ranges::sort(node.sortedLive);
     SendClaim(aNode);
     After(kStatusInterval, aNode, [this, aNode] { Round(aNode); });
   }
@@ -332,7 +335,7 @@
   void Follow(std::size_t aNode)
   {
     Node& node = nodes_[aNode];
-    if (!node.knowledge.IsReader(node.live, now_)) {
+    if (!node.knowledge.IsReader(node.sortedLive, now_)) {
       After(
         std::chrono::milliseconds(50), aNode, [this, aNode] { Follow(aNode); });
       return;
--- a/tests/gateway/test_store_knowledge.cpp
+++ b/tests/gateway/test_store_knowledge.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <string>
@@ -257,4 +258,30 @@
   CHECK(knowledge.FollowedSince() == now);
 }
 
+TEST_CASE(
+  "[StoreKnowledge] no peer is looked at for a newer version while none "
+  "has claimed one")
+{
+  constexpr int kPeers = 68;
+  const Instant now{ seconds(100) };
+  StoreKnowledge knowledge("10.0.0.0:1", 1);
+  knowledge.OnVersion({ 0, 3 });
+  std::vector<std::string> live;
+  for (int peer = 0; peer < kPeers; ++peer) {
+    live.push_back("10.0.0." + std::to_string(peer) + ":2");
+  }
+  std::ranges::sort(live);
+  for (const std::string& peer : live) {
+    knowledge.OnClaim(peer, { { 0, 3 }, Duration{}, Duration{} }, now);
+  }
+  CHECK_FALSE(knowledge.ChooseSource(live, now));
+  CHECK(knowledge.SourcesVisited() == 0);
+  knowledge.OnClaim(live[7], { { 0, 4 }, Duration{}, Duration{} }, now);
+  CHECK(knowledge.ChooseSource(live, now) == live[7]);
+  CHECK(knowledge.SourcesVisited() == kPeers);
+  knowledge.OnVersion({ 0, 4 });
+  CHECK_FALSE(knowledge.ChooseSource(live, now + seconds(1)));
+  CHECK(knowledge.SourcesVisited() == kPeers);
+}
+
 } // namespace gypsum::tests
