Judge the traits that a crash report concerns

Cause: each new report judged all traits of all known crashes anew, and copied all verdicts to see what had changed. Each event of a stream looked at all crashes, and the expiry compared each survival with each crash five times a second.

Change: crashes and survivals are kept by trait; a report judges the traits that it concerns. All are judged while one is refused, or in a new fleet, where crashes bear on other traits. Crashes of one server are found by key.

Why it works: without a refused trait nothing is explained, so that a verdict depends on the crashes and survivals of its own trait only.

--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -5,8 +5,9 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <limits>
 #include <numeric>
-#include <optional>
+#include <ranges>
 #include <tuple>
 
 namespace gypsum {
@@ -51,22 +52,61 @@
   return kNames[static_cast<std::size_t>(aState)];
 }
 
+auto CrashEvidence::CrashesOf(std::string_view aBackend,
+                              std::uint64_t aStartedMs) const
+{
+  return std::ranges::subrange(
+    crashes_.lower_bound({ std::string(aBackend), aStartedMs, 0 }),
+    crashes_.upper_bound({ std::string(aBackend),
+                           aStartedMs,
+                           std::numeric_limits<std::uint32_t>::max() }));
+}
+
 std::uint32_t CrashEvidence::RestartsBefore(std::string_view aBackend,
                                             std::uint64_t aStartedMs,
                                             Instant aOpenedAt) const
 {
   std::uint32_t restarts = 0;
-  for (const auto& [key, crash] : crashes_) {
-    const auto& [backend, startedMs, before] = key;
-    if (backend == aBackend && startedMs == aStartedMs &&
-        crash.at < aOpenedAt && !crash.wasSilent) {
-      restarts = std::max(restarts, before + 1);
+  for (const auto& [key, crash] : CrashesOf(aBackend, aStartedMs)) {
+    if (crash.at < aOpenedAt && !crash.wasSilent) {
+      restarts = std::max(restarts, std::get<std::uint32_t>(key) + 1);
     }
   }
   return restarts;
 }
 
-bool CrashEvidence::AddCrash(const ServerCrash& aCrash, Instant aNow)
+void CrashEvidence::Link(const std::string& aTrait, const Crash& aCrash)
+{
+  traits_[aTrait].crashes.emplace_back(&aCrash,
+                                       aCrash.positions.find(aTrait)->second);
+  ++linkedTraits_;
+}
+
+void CrashEvidence::Unlink(Crash& aCrash, TouchedTraits& aTouched)
+{
+  for (const auto& [trait, position] : aCrash.positions) {
+    aTouched.insert(trait);
+    const auto events = traits_.find(trait);
+    std::erase_if(events->second.crashes,
+                  [&](const auto& aItem) { return aItem.first == &aCrash; });
+    if (events->second.crashes.empty() && events->second.survivals.empty()) {
+      traits_.erase(events);
+    }
+  }
+  linkedTraits_ -= aCrash.positions.size();
+  aCrash.positions.clear();
+}
+
+CrashEvidence::Crashes::iterator CrashEvidence::Erase(Crashes::iterator aCrash,
+                                                      TouchedTraits& aTouched)
+{
+  Unlink(aCrash->second, aTouched);
+  return crashes_.erase(aCrash);
+}
+
+bool CrashEvidence::AddCrash(const ServerCrash& aCrash,
+                             Instant aNow,
+                             TouchedTraits& aTouched)
 {
   const CrashKey key{ aCrash.backend,
                       aCrash.startedMs,
@@ -82,8 +122,9 @@
   const bool isSilence = isKnown && crash.wasSilent && aCrash.wasSilent;
   const bool isTooLate = isSilence && at >= crash.at + kCrashSpacing;
   if (isSilence && crash.at >= at + kCrashSpacing) {
-    crash.positions.clear();
+    Unlink(crash, aTouched);
   }
+  const Instant former = crash.at;
   crash.at = isKnown ? std::min(crash.at, at) : at;
   crash.version = aCrash.version;
   const bool isFirstProof = !isKnown || crash.proof < aCrash.proof;
@@ -97,34 +138,51 @@
   crash.proof = std::max(isKnown ? crash.proof : aCrash.proof, aCrash.proof);
   crash.wasSilent |= aCrash.wasSilent;
   for (const RequestTrait& trait : aCrash.traits) {
-    if (!isTooLate && crash.positions.size() < kMaxTraitsPerCrash) {
-      isNew |= crash.positions.emplace(trait.name, trait.position).second;
+    const bool isLinked =
+      !isTooLate && crash.positions.size() < kMaxTraitsPerCrash &&
+      crash.positions.emplace(trait.name, trait.position).second;
+    if (isLinked) {
+      Link(trait.name, crash);
+      isNew = true;
     }
   }
+  if (isNew || crash.at != former) {
+    std::ranges::copy(crash.positions | std::views::keys,
+                      std::inserter(aTouched, aTouched.end()));
+  }
   return isNew;
 }
 
 bool CrashEvidence::AddSurvival(const TraitSurvival& aSurvival, Instant aNow)
 {
   // A trait that is sound has no crash to take back.
-  return verdicts_.contains(aSurvival.trait) &&
-         survivals_
-           .emplace(SurvivalKey{ aSurvival.gateway, aSurvival.number },
-                    Survival{ aSurvival.trait,
-                              aSurvival.version,
-                              aNow - aSurvival.age })
-           .second;
+  if (!verdicts_.contains(aSurvival.trait)) {
+    return false;
+  }
+  const auto [added, isNew] = survivals_.emplace(
+    SurvivalKey{ aSurvival.gateway, aSurvival.number },
+    Survival{ aSurvival.trait, aSurvival.version, aNow - aSurvival.age });
+  if (isNew) {
+    traits_[aSurvival.trait].survivals.push_back(&added->second);
+  }
+  return isNew;
 }
 
-bool CrashEvidence::AddLife(const ServerLife& aLife, Instant aNow)
+bool CrashEvidence::AddLife(const ServerLife& aLife,
+                            Instant aNow,
+                            TouchedTraits& aTouched)
 {
   const Instant at = aNow - aLife.age;
-  return std::erase_if(crashes_, [&](const auto& aItem) {
-           const auto& [backend, startedMs, before] = aItem.first;
-           return aItem.second.proof == EndProof::Suspected &&
-                  backend == aLife.backend && startedMs == aLife.startedMs &&
-                  aItem.second.at < at;
-         }) > 0;
+  std::vector<CrashKey> settled;
+  for (const auto& [key, crash] : CrashesOf(aLife.backend, aLife.startedMs)) {
+    if (crash.proof == EndProof::Suspected && crash.at < at) {
+      settled.push_back(key);
+    }
+  }
+  for (const CrashKey& key : settled) {
+    Erase(crashes_.find(key), aTouched);
+  }
+  return !settled.empty();
 }
 
 bool CrashEvidence::IsSettledBy(std::string_view aBackend,
@@ -132,102 +190,112 @@
                                 Instant aOpenedAt,
                                 Instant aNow) const
 {
-  return std::ranges::any_of(crashes_, [&](const auto& aItem) {
-    const auto& [backend, startedMs, before] = aItem.first;
-    const Crash& crash = aItem.second;
-    // A connection that was opened later may lead to a restarted process.
-    return crash.proof == EndProof::Suspected && backend == aBackend &&
-           startedMs == aStartedMs && aOpenedAt <= crash.at && crash.at < aNow;
-  });
+  return !crashes_.empty() &&
+         std::ranges::any_of(CrashesOf(aBackend, aStartedMs),
+                             [&](const auto& aItem) {
+                               const Crash& crash = aItem.second;
+                               // A connection that was opened later may lead to
+                               // a restarted process.
+                               return crash.proof == EndProof::Suspected &&
+                                      aOpenedAt <= crash.at && crash.at < aNow;
+                             });
 }
 
 bool CrashEvidence::Add(const CrashReport& aReport, Instant aNow)
 {
   bool isNew = false;
+  TouchedTraits touched;
   for (const ServerLife& life : aReport.lives) {
-    isNew |= AddLife(life, aNow);
+    isNew |= AddLife(life, aNow, touched);
   }
   for (const ServerCrash& crash : aReport.crashes) {
-    isNew |= AddCrash(crash, aNow);
+    isNew |= AddCrash(crash, aNow, touched);
   }
+  stale_.merge(touched);
   if (isNew) {
-    formerVerdicts_ = verdicts_;
-    BoundMemory();
-    Judge();
+    formerVerdicts_.clear();
+    BoundMemory(stale_);
+    Judge(std::exchange(stale_, {}));
   }
   std::vector<TraitSurvival> survivals = aReport.survivals;
   std::ranges::sort(survivals, std::ranges::greater{}, &TraitSurvival::age);
   for (const TraitSurvival& survival : survivals) {
     if (AddSurvival(survival, aNow)) {
       if (!std::exchange(isNew, true)) {
-        formerVerdicts_ = verdicts_;
+        formerVerdicts_.clear();
       }
-      BoundMemory();
-      Judge();
+      touched = { survival.trait };
+      BoundMemory(touched);
+      Judge(touched);
     }
   }
   return isNew;
 }
 
-std::size_t CrashEvidence::CountTraits() const
+void CrashEvidence::BoundMemory(TouchedTraits& aTouched)
 {
-  return std::accumulate(crashes_.begin(),
-                         crashes_.end(),
-                         std::size_t{ 0 },
-                         [](std::size_t aSum, const auto& aItem) {
-                           return aSum + aItem.second.positions.size();
-                         });
+  while (crashes_.size() > kMaxCrashes || linkedTraits_ > kMaxTraits) {
+    Erase(std::ranges::min_element(crashes_,
+                                   {},
+                                   [](const auto& aItem) {
+                                     const Crash& crash = aItem.second;
+                                     return std::tuple(crash.proof ==
+                                                         EndProof::Confirmed,
+                                                       crash.isExplained,
+                                                       crash.at);
+                                   }),
+          aTouched);
+  }
+  while (survivals_.size() > kMaxSurvivals) {
+    EraseSurvival(std::ranges::min_element(
+      survivals_, {}, [](const auto& aItem) { return aItem.second.at; }));
+  }
 }
 
-void CrashEvidence::BoundMemory()
+void CrashEvidence::EraseSurvival(Survivals::iterator aSurvival)
 {
-  std::size_t traits = CountTraits();
-  while (crashes_.size() > kMaxCrashes || traits > kMaxTraits) {
-    const auto oldest =
-      std::ranges::min_element(crashes_, {}, [](const auto& aItem) {
-        const Crash& crash = aItem.second;
-        return std::tuple(
-          crash.proof == EndProof::Confirmed, crash.isExplained, crash.at);
-      });
-    traits -= oldest->second.positions.size();
-    crashes_.erase(oldest);
+  const auto events = traits_.find(aSurvival->second.trait);
+  std::erase(events->second.survivals, &aSurvival->second);
+  if (events->second.crashes.empty() && events->second.survivals.empty()) {
+    traits_.erase(events);
   }
-  while (survivals_.size() > kMaxSurvivals) {
-    survivals_.erase(std::ranges::min_element(
-      survivals_, {}, [](const auto& aItem) { return aItem.second.at; }));
+  survivals_.erase(aSurvival);
+}
+
+bool CrashEvidence::IsExpired(const Crash& aCrash, Instant aNow) const
+{
+  if (aCrash.proof == EndProof::Suspected) {
+    return aNow - aCrash.at >= kSuspicionMemory;
   }
+  if (aNow - aCrash.at < kMemory) {
+    return false;
+  }
+  return std::ranges::none_of(aCrash.positions, [&](const auto& aTrait) {
+    const auto verdict = verdicts_.find(aTrait.first);
+    // After its time, a refused trait is kept long enough to be tried.
+    return verdict != verdicts_.end() &&
+           verdict->second.state == TraitState::Refused &&
+           aNow < verdict->second.refusedUntil + kMemory;
+  });
 }
 
 void CrashEvidence::Expire(Instant aNow)
 {
-  if (crashes_.empty() && survivals_.empty()) {
-    return;
+  TouchedTraits touched;
+  for (auto crash = crashes_.begin(); crash != crashes_.end();) {
+    crash =
+      IsExpired(crash->second, aNow) ? Erase(crash, touched) : std::next(crash);
   }
-  const std::size_t before = crashes_.size();
-  std::erase_if(crashes_, [&](const auto& aItem) {
-    const Crash& crash = aItem.second;
-    if (crash.proof == EndProof::Suspected) {
-      return aNow - crash.at >= kSuspicionMemory;
+  for (auto survival = survivals_.begin(); survival != survivals_.end();) {
+    const auto next = std::next(survival);
+    const bool isOld = aNow - survival->second.at >= kMemory;
+    if (isOld && traits_.find(survival->second.trait)->second.crashes.empty()) {
+      EraseSurvival(survival);
     }
-    const bool isKept =
-      std::ranges::any_of(crash.positions, [&](const auto& aTrait) {
-        const auto verdict = verdicts_.find(aTrait.first);
-        // After its time, a refused trait is kept long enough to be tried.
-        return verdict != verdicts_.end() &&
-               verdict->second.state == TraitState::Refused &&
-               aNow < verdict->second.refusedUntil + kMemory;
-      });
-    return !isKept && aNow - crash.at >= kMemory;
-  });
-  std::erase_if(survivals_, [&](const auto& aItem) {
-    const bool isNeeded =
-      std::ranges::any_of(crashes_, [&](const auto& aCrash) {
-        return aCrash.second.positions.contains(aItem.second.trait);
-      });
-    return !isNeeded && aNow - aItem.second.at >= kMemory;
-  });
-  if (crashes_.size() != before) {
-    Judge();
+    survival = next;
+  }
+  if (!touched.empty()) {
+    Judge(touched);
   }
 }
 
@@ -306,8 +374,7 @@
   return silences > 0 && crashes + silences >= CrashEvidence::kCrashesToRefuse;
 }
 
-std::map<std::string_view, CrashEvidence::Score>
-CrashEvidence::ScoreUnexplained() const
+CrashEvidence::Score CrashEvidence::ScoreOf(const TraitEvents& aEvents) const
 {
   struct Event
   {
@@ -315,50 +382,95 @@
     const Crash* crash = nullptr;
     const Survival* survival = nullptr; ///< One of the two is set.
     std::uint32_t position = 0;         ///< Of a crash.
-    bool isSingle = false;              ///< The same.
   };
-  std::map<std::string_view, std::vector<Event>> events;
-  for (const auto& [key, crash] : crashes_) {
-    if (crash.isExplained) {
-      continue;
+  std::vector<Event> events;
+  for (const auto& [crash, position] : aEvents.crashes) {
+    if (!crash->isExplained) {
+      events.push_back({ crash->at, crash, nullptr, position });
     }
-    // It looks at all other crashes, and counts in a new fleet only.
-    const bool isSingle = crash.isFleetNew && IsSingle(crash);
-    for (const auto& [trait, position] : crash.positions) {
-      events[trait].push_back(
-        { crash.at, &crash, nullptr, position, isSingle });
+  }
+  if (events.empty()) {
+    return {};
+  }
+  for (const Survival* const survival : aEvents.survivals) {
+    events.push_back({ survival->at, nullptr, survival, 0 });
+  }
+  std::ranges::stable_sort(events, {}, &Event::at);
+  Score score;
+  for (const Event& event : events) {
+    if (event.crash) {
+      // It looks at all other crashes, and counts in a new fleet only.
+      const bool isSingle = event.crash->isFleetNew && IsSingle(*event.crash);
+      score.OnCrash(*event.crash, event.position, isSingle);
+    } else {
+      score.OnSurvival(*event.survival);
     }
   }
-  for (const auto& [key, survival] : survivals_) {
-    const auto found = events.find(survival.trait);
-    if (found != events.end()) {
-      found->second.push_back({ survival.at, nullptr, &survival, 0, false });
+  return score;
+}
+
+void CrashEvidence::KeepFormer(const std::string& aTrait)
+{
+  const auto verdict = verdicts_.find(aTrait);
+  formerVerdicts_.try_emplace(
+    aTrait,
+    verdict == verdicts_.end() ? std::nullopt : std::optional(verdict->second));
+}
+
+bool CrashEvidence::IsAnyFleetNew() const
+{
+  return std::ranges::any_of(
+    crashes_, [](const auto& aItem) { return aItem.second.isFleetNew; });
+}
+
+void CrashEvidence::Judge(const TouchedTraits& aTouched)
+{
+  if (isAnyRefused_ || IsAnyFleetNew()) {
+    JudgeAll();
+    return;
+  }
+  std::map<std::string, Score> scores;
+  for (const std::string& trait : aTouched) {
+    const auto events = traits_.find(trait);
+    scores[trait] = events == traits_.end() ? Score{} : ScoreOf(events->second);
+    ++judgements_;
+    if (scores[trait].Count(EndProof::Confirmed) >= kCrashesToRefuse) {
+      JudgeAll();
+      return;
     }
   }
-  std::map<std::string_view, Score> scores;
-  for (auto& [trait, list] : events) {
-    std::ranges::sort(list, {}, &Event::at);
-    Score& score = scores[trait];
-    for (const Event& event : list) {
-      if (event.crash) {
-        score.OnCrash(*event.crash, event.position, event.isSingle);
-      } else {
-        score.OnSurvival(*event.survival);
-      }
+  for (const auto& [trait, score] : scores) {
+    KeepFormer(trait);
+    if (score.counted.empty()) {
+      verdicts_.erase(trait);
+    } else {
+      verdicts_[trait] = score.ToVerdict(TraitState::Suspect);
     }
   }
-  return scores;
 }
 
-void CrashEvidence::Judge()
+void CrashEvidence::JudgeAll()
 {
-  ++judgements_;
+  for (const auto& [trait, events] : traits_) {
+    KeepFormer(trait);
+  }
+  for (const auto& [trait, verdict] : verdicts_) {
+    KeepFormer(trait);
+  }
   verdicts_.clear();
+  isAnyRefused_ = false;
   for (auto& [key, crash] : crashes_) {
     crash.isExplained = false;
   }
   for (;;) {
-    const auto scores = ScoreUnexplained();
+    std::map<std::string_view, Score> scores;
+    for (const auto& [trait, events] : traits_) {
+      Score score = ScoreOf(events);
+      if (!score.countedAt.empty()) {
+        scores.emplace(trait, std::move(score));
+      }
+    }
+    judgements_ += traits_.size();
     const auto best =
       std::ranges::max_element(scores, {}, [](const auto& aItem) {
         // The first traits of prompts are common to many requests, so that the
@@ -379,6 +491,7 @@
     if (!isRefused) {
       return;
     }
+    isAnyRefused_ = true;
     for (auto& [key, crash] : crashes_) {
       crash.isExplained =
         crash.isExplained || crash.positions.contains(best->first);
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -143,6 +144,10 @@
  * some time from then on, the crash of a single server holds its traits back.
  *
  * Gateways exchange their reports; those that have the same ones agree.
+ *
+ * A report judges the traits that it concerns. All are judged anew only while a
+ * trait is refused, which explains crashes for others, or in a new fleet, where
+ * crashes at the same time bear on each other.
  */
 class CrashEvidence
 {
@@ -195,13 +200,15 @@
   {
     return verdicts_;
   }
-  /** The same before the last report that was new. */
-  const std::map<std::string, TraitVerdict, std::less<>>& FormerVerdicts() const
+  /** The traits that the last new report has judged, each as it stood before:
+   * empty if it was sound. */
+  const std::map<std::string, std::optional<TraitVerdict>, std::less<>>&
+  FormerVerdicts() const
   {
     return formerVerdicts_;
   }
   CrashReport Report(Instant aNow) const;
-  /** How often all that is known was judged anew. */
+  /** Traits that have been judged so far, each time counted. */
   std::uint64_t Judgements() const { return judgements_; }
   /** Equal for gateways whose verdicts agree; zero without any. */
   std::uint64_t Digest() const;
@@ -227,6 +234,14 @@
     std::string version;
     Instant at{};
   };
+  /** What speaks for and against one trait. The pointers lead to `crashes_` and
+   * `survivals_`. */
+  struct TraitEvents
+  {
+    std::vector<std::pair<const Crash*, std::uint32_t>> crashes; ///< Position.
+    std::vector<const Survival*> survivals;
+  };
+  using TouchedTraits = std::set<std::string, std::less<>>;
   /** One crash that counts for a trait, with those shortly after it. */
   struct CountedCrash
   {
@@ -249,23 +264,47 @@
     TraitVerdict ToVerdict(TraitState aState) const;
   };
 
-  bool AddCrash(const ServerCrash& aCrash, Instant aNow);
+  using Crashes = std::map<CrashKey, Crash>;
+
+  bool AddCrash(const ServerCrash& aCrash,
+                Instant aNow,
+                TouchedTraits& aTouched);
   bool AddSurvival(const TraitSurvival& aSurvival, Instant aNow);
   /** Drops the suspicions that a response has settled. */
-  bool AddLife(const ServerLife& aLife, Instant aNow);
+  bool AddLife(const ServerLife& aLife, Instant aNow, TouchedTraits& aTouched);
+  void Link(const std::string& aTrait, const Crash& aCrash);
+  /** Takes the traits off a crash. */
+  void Unlink(Crash& aCrash, TouchedTraits& aTouched);
+  using Survivals = std::map<SurvivalKey, Survival>;
+  void EraseSurvival(Survivals::iterator aSurvival);
+  bool IsExpired(const Crash& aCrash, Instant aNow) const;
+  Crashes::iterator Erase(Crashes::iterator aCrash, TouchedTraits& aTouched);
+  /** The crashes of one incarnation. */
+  auto CrashesOf(std::string_view aBackend, std::uint64_t aStartedMs) const;
   /** Whether few servers crashed shortly before or after, so that they have not
    * been lost together. */
   bool IsSingle(const Crash& aCrash) const;
-  void Judge();
-  /** By trait; the names are those of `crashes_`. */
-  std::map<std::string_view, Score> ScoreUnexplained() const;
-  void BoundMemory();
-  std::size_t CountTraits() const;
+  /** Judges these traits, or all if others may depend on them. */
+  void Judge(const TouchedTraits& aTouched);
+  void JudgeAll();
+  /** Keeps the verdict of a trait as the one before the report. */
+  void KeepFormer(const std::string& aTrait);
+  /** By the crashes that no refused trait explains. */
+  Score ScoreOf(const TraitEvents& aEvents) const;
+  bool IsAnyFleetNew() const;
+  void BoundMemory(TouchedTraits& aTouched);
 
-  std::map<CrashKey, Crash> crashes_;
-  std::map<SurvivalKey, Survival> survivals_;
+  Crashes crashes_;
+  Survivals survivals_;
+  std::map<std::string, TraitEvents, std::less<>> traits_;
+  std::size_t linkedTraits_ = 0; ///< Over all crashes.
   std::map<std::string, TraitVerdict, std::less<>> verdicts_;
-  std::map<std::string, TraitVerdict, std::less<>> formerVerdicts_;
+  std::map<std::string, std::optional<TraitVerdict>, std::less<>>
+    formerVerdicts_;
+  /** To be judged with the next new report: another gateway has seen one of
+   * their crashes earlier. */
+  TouchedTraits stale_;
+  bool isAnyRefused_ = false;
   std::uint64_t judgements_ = 0;
 };
 
--- a/servers/gateway/crash_service.cpp
+++ b/servers/gateway/crash_service.cpp
@@ -308,30 +308,26 @@
   }
   const auto& before = evidence_.FormerVerdicts();
   const auto& after = evidence_.Verdicts();
-  std::set<std::string> changed;
-  for (const auto& [trait, verdict] : after) {
-    const auto old = before.find(trait);
-    if (old == before.end() || old->second.state != verdict.state ||
-        old->second.crashes < verdict.crashes) {
-      changed.insert(trait);
+  for (const auto& [trait, old] : before) {
+    const auto verdict = after.find(trait);
+    const bool isSound = verdict == after.end();
+    const bool hasChanged = isSound || !old
+                              ? isSound == old.has_value()
+                              : old->state != verdict->second.state ||
+                                  old->crashes < verdict->second.crashes;
+    if (hasChanged) {
+      LogVerdict(trait, aSource);
     }
   }
-  for (const auto& [trait, verdict] : before) {
-    if (!after.contains(trait)) {
-      changed.insert(trait);
-    }
-  }
-  for (const std::string& trait : changed) {
-    LogVerdict(trait, aSource);
-  }
   for (const ServerCrash& crash : aReport.crashes) {
     for (const RequestTrait& trait : crash.traits) {
       const auto old = before.find(trait.name);
       // A new fleet holds a trait back after one crash, unless it was
       // survived lately.
-      const bool isAnySurvivalEnough = old == before.end() || crash.isFleetNew;
+      const bool isAnySurvivalEnough =
+        old == before.end() || !old->second || crash.isFleetNew;
       const Instant previousAt =
-        isAnySurvivalEnough ? Instant{} : old->second.lastCrashAt;
+        isAnySurvivalEnough ? Instant{} : old->second->lastCrashAt;
       if (after.contains(trait.name) &&
           survivals_.HasSince(
             SurvivalName(trait.name, crash.version), previousAt, now)) {
--- a/tests/gateway/test_crash_evidence.cpp
+++ b/tests/gateway/test_crash_evidence.cpp
@@ -576,4 +576,42 @@
   CHECK(State("late") == TraitState::Sound);
 }
 
+TEST_CASE_FIXTURE(
+  CrashFixture,
+  "[CrashEvidence] a report judges the traits that it concerns, "
+  "however many crashes are known")
+{
+  int known = 0;
+  SUBCASE("5 crashes")
+  {
+    known = 5;
+  }
+  SUBCASE("68 crashes")
+  {
+    known = 68;
+  }
+  SUBCASE("250 crashes")
+  {
+    known = 250;
+  }
+  for (int crash = 0; crash < known; ++crash) {
+    const std::string name = std::to_string(crash);
+    evidence.Add(Crash({ "part" + name, "request" + name }), now);
+  }
+  CHECK(evidence.Verdicts().size() == static_cast<std::size_t>(2 * known));
+  const auto judgementsOf = [&](const CrashReport& aReport) {
+    const std::uint64_t before = evidence.Judgements();
+    CHECK(evidence.Add(aReport, now));
+    return evidence.Judgements() - before;
+  };
+  const CrashReport silence = Silence("part0");
+  CHECK(judgementsOf(silence) == 1);
+  now += milliseconds(1);
+  CHECK(judgementsOf(LifeOf(silence)) == 1);
+  CHECK(judgementsOf(Crash({ "part1", "new" })) == 2);
+  CHECK(judgementsOf(Survival("part2")) == 1);
+  CHECK(State("part2") == TraitState::Sound);
+  CHECK(State("part3") == TraitState::Suspect);
+}
+
 } // namespace gypsum::tests
