Keep the owner of a job that has accepted it in time

Cause: a gateway that is late finds the time over in which the owner of a stage's queue accepts a job, before it reads the acceptance that has arrived meanwhile. It offers the job to the next owner.

--- a/servers/gateway/limit_service.cpp
+++ b/servers/gateway/limit_service.cpp
@@ -98,7 +98,8 @@
   questions_[number] = question;
   peers_.SendTo(aAllotter,
                 LimitQuestion{ number, WordOn(KeyOf(*aBackend)), aPriority });
-  question->answered.expires_after(kAnswerTimeout);
+  question->answered.expires_after(kAnswerTimeout +
+                                   state_.loopLag.At(Now().steady));
   boost::system::error_code ignored;
   co_await question->answered.async_wait(
     asio::redirect_error(asio::use_awaitable, ignored));
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/piece_service.h"
 
+#include "core/gateway/accept_wait.h"
 #include "core/gateway/offered_owners.h"
 #include "core/gateway/piece_limit.h"
 #include "core/scope_exit.h"
@@ -181,7 +182,7 @@
   ResponseTime& acceptTime =
     acceptTimes_.try_emplace(aOwner, kMinAcceptTimeout, kMaxAcceptTimeout)
       .first->second;
-  const Instant acceptDeadline = begin + acceptTime.Timeout();
+  AcceptWait acceptWait(begin, acceptTime.Timeout());
   if (isRemote) {
     peers_.SendTo(
       aOwner,
@@ -195,10 +196,10 @@
     if (now >= deadline) {
       break;
     }
-    const bool hasAcceptTimedOut =
-      !pending->isAccepted && now >= acceptDeadline;
+    const bool isNotAccepted = isRemote && !pending->isAccepted &&
+                               acceptWait.IsOver(now, state_.loopLag.At(now));
     if (isRemote &&
-        (hasAcceptTimedOut || !peers_.IsLive(aOwner, ownerIncarnation))) {
+        (isNotAccepted || !peers_.IsLive(aOwner, ownerIncarnation))) {
       isOwnerSilent = true;
       continue;
     }
@@ -206,7 +207,7 @@
     if (isRemote) {
       wakeAt = std::min(deadline,
                         pending->isAccepted ? now + kOwnerCheckInterval
-                                            : acceptDeadline);
+                                            : acceptWait.Until());
     }
     aCancellation.SetOnCancel([pending] { pending->timer.cancel(); });
     pending->timer.expires_at(wakeAt);
