Take in a peer's loads without building its report anew

Change: the loads of one server are a vector; a report keeps pointers to those that it is in. No string is built for a peer or server that is known.

--- a/core/gateway/backend_loads.cpp
+++ b/core/gateway/backend_loads.cpp
@@ -120,20 +120,38 @@
   }
 }
 
+void BackendLoads::DropReport(const std::string& aPeer,
+                              std::vector<PeerLoads*>& aServers)
+{
+  for (PeerLoads* const loads : aServers) {
+    std::erase_if(*loads,
+                  [&](const PeerLoad& aLoad) { return aLoad.peer == &aPeer; });
+  }
+  aServers.clear();
+}
+
 void BackendLoads::OnPeerReport(std::string_view aPeer,
-                                std::vector<BackendLoad> aLoads,
+                                std::span<const BackendLoad> aLoads,
                                 Instant aNow)
 {
-  RemovePeer(aPeer);
-  if (aLoads.empty()) {
-    return;
+  auto found = reported_.find(aPeer);
+  if (found == reported_.end()) {
+    found = reported_.try_emplace(std::string(aPeer)).first;
   }
-  std::vector<std::string>& servers = reported_[std::string(aPeer)];
-  for (BackendLoad& load : aLoads) {
-    servers.push_back(load.id);
+  auto& [peer, servers] = *found;
+  DropReport(peer, servers);
+  for (const BackendLoad& load : aLoads) {
     PeerLoads& loads = peerLoads_[load.id];
-    loads.insert_or_assign(std::string(aPeer),
-                           PeerLoad{ std::move(load), aNow });
+    const bool isNamedTwice = !loads.empty() && loads.back().peer == &peer;
+    if (isNamedTwice) {
+      continue;
+    }
+    loads.push_back({ &peer,
+                      load.running,
+                      load.pendingPromptTokens,
+                      load.isUnresponsive,
+                      aNow });
+    servers.push_back(&loads);
   }
 }
 
@@ -152,24 +170,11 @@
 
 void BackendLoads::RemovePeer(std::string_view aPeer)
 {
-  const auto reported = reported_.find(aPeer);
-  if (reported == reported_.end()) {
-    return;
-  }
-  for (const std::string& server : reported->second) {
-    const auto loads = peerLoads_.find(server);
-    if (loads == peerLoads_.end()) {
-      continue;
-    }
-    const auto load = loads->second.find(aPeer);
-    if (load != loads->second.end()) {
-      loads->second.erase(load);
-    }
-    if (loads->second.empty()) {
-      peerLoads_.erase(loads);
-    }
+  const auto found = reported_.find(aPeer);
+  if (found != reported_.end()) {
+    DropReport(found->first, found->second);
+    reported_.erase(found);
   }
-  reported_.erase(reported);
 }
 
 LoadEstimate BackendLoads::Estimate(std::string_view aId, Instant aNow) const
@@ -191,20 +196,21 @@
            kPromptTokensPerMs;
   };
   double reported = 0.0;
-  static const PeerLoads kNone;
   const auto loads = peerLoads_.find(aId);
-  for (const auto& [peer, report] :
-       loads == peerLoads_.end() ? kNone : loads->second) {
+  const std::span<const PeerLoad> ofPeers =
+    loads == peerLoads_.end() ? std::span<const PeerLoad>{}
+                              : std::span<const PeerLoad>(loads->second);
+  for (const PeerLoad& load : ofPeers) {
     ++peerLoadsVisited_;
-    if (aNow - report.at > kPeerReportMaxAge) {
+    if (aNow - load.at > kPeerReportMaxAge) {
       continue;
     }
-    estimate.isSuspect = estimate.isSuspect || report.load.isUnresponsive;
-    estimate.running += report.load.running;
+    estimate.isSuspect = estimate.isSuspect || load.isUnresponsive;
+    estimate.running += load.running;
     // The replica has gone on processing prompts since the report.
     reported += std::max(0.0,
-                         static_cast<double>(report.load.pendingPromptTokens) -
-                           tokensIn(aNow - report.at));
+                         static_cast<double>(load.pendingPromptTokens) -
+                           tokensIn(aNow - load.at));
   }
   const auto doneAt = peerPromptsDoneAt_.find(aId);
   const double announced =
--- a/core/gateway/backend_loads.h
+++ b/core/gateway/backend_loads.h
@@ -5,6 +5,7 @@
 #include <concepts>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -102,7 +103,7 @@
                Instant aNow);
 
   void OnPeerReport(std::string_view aPeer,
-                    std::vector<BackendLoad> aLoads,
+                    std::span<const BackendLoad> aLoads,
                     Instant aNow);
   /** A peer has sent a prompt; `aTokens` is the part that is not cached. */
   void OnPeerPromptSent(std::string_view aId,
@@ -124,6 +125,9 @@
     std::erase_if(localLoads_, [&](const auto& aItem) {
       return aItem.second.running == 0 && !aIsListed(aItem.first);
     });
+    std::erase_if(peerLoads_, [&](const auto& aItem) {
+      return aItem.second.empty() && !aIsListed(aItem.first);
+    });
     std::erase_if(peerPromptsDoneAt_,
                   [&](const auto& aItem) { return !aIsListed(aItem.first); });
   }
@@ -154,19 +158,24 @@
   /** What a peer has reported of one server. */
   struct PeerLoad
   {
-    BackendLoad load;
+    const std::string* peer = nullptr; ///< A key of `reported_`.
+    std::uint32_t running = 0;
+    std::uint64_t pendingPromptTokens = 0;
+    bool isUnresponsive = false;
     Instant at{};
   };
-  using PeerLoads = std::map<std::string, PeerLoad, std::less<>>;
+  using PeerLoads = std::vector<PeerLoad>;
 
   LocalLoad& LocalLoadOf(std::string_view aId);
+  /** Drops what a peer has reported last. */
+  static void DropReport(const std::string& aPeer,
+                         std::vector<PeerLoads*>& aServers);
 
   std::map<std::string, LocalLoad, std::less<>> localLoads_;
-  /** By server and then peer: an estimate looks only at the peers that use the
-   * server. */
+  /** By server: an estimate looks only at the peers that use it. */
   std::map<std::string, PeerLoads, std::less<>> peerLoads_;
-  /** Servers in the last report of each peer. */
-  std::map<std::string, std::vector<std::string>, std::less<>> reported_;
+  /** The loads of the servers in the last report of each peer. */
+  std::map<std::string, std::vector<PeerLoads*>, std::less<>> reported_;
   mutable std::uint64_t peerLoadsVisited_ = 0;
   /** When servers will have processed the prompts that peers announced, at
    * `kPromptTokensPerMs`. */
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -136,7 +136,8 @@
   }
   SUBCASE("a server that a peer reports as unresponsive")
   {
-    loads.OnPeerReport("peer", { { "r0", 1, 0, true } }, now);
+    loads.OnPeerReport(
+      "peer", std::array{ BackendLoad{ "r0", 1, 0, true } }, now);
     CHECK(Choose(prompt)->backend->id != "r0");
     now += seconds(2);
     loads.OnDataReceived("r0", now);
@@ -249,13 +250,15 @@
   }
   SUBCASE("a report of the same prompt does not count twice")
   {
-    loads.OnPeerReport("peer", { { "r0", 1, 9'000, false } }, now);
+    loads.OnPeerReport(
+      "peer", std::array{ BackendLoad{ "r0", 1, 9'000, false } }, now);
     CHECK(loads.Estimate("r0", now).pendingPromptTokens ==
           doctest::Approx(9'000));
   }
   SUBCASE("a report decreases as the replica processes prompts")
   {
-    loads.OnPeerReport("peer", { { "r1", 1, 9'000, false } }, now);
+    loads.OnPeerReport(
+      "peer", std::array{ BackendLoad{ "r1", 1, 9'000, false } }, now);
     CHECK(loads.Estimate("r1", now + milliseconds(100)).pendingPromptTokens ==
           doctest::Approx(4'500));
   }
@@ -369,7 +372,7 @@
       own.push_back(
         { "i-" + std::to_string((aPeer + index * peers) % servers), aRunning });
     }
-    loads.OnPeerReport("gw-" + std::to_string(aPeer), std::move(own), now);
+    loads.OnPeerReport("gw-" + std::to_string(aPeer), own, now);
   };
   for (int peer = 0; peer < peers; ++peer) {
     report(peer, 5);
