--- a/core/gateway/crash_evidence.cpp
+++ b/core/gateway/crash_evidence.cpp
@@ -7,7 +7,6 @@
 #include <iterator>
 #include <limits>
 #include <numeric>
-#include <ranges>
 #include <tuple>
 
 namespace gypsum {
@@ -52,14 +51,16 @@
   return kNames[static_cast<std::size_t>(aState)];
 }
 
-auto CrashEvidence::CrashesOf(std::string_view aBackend,
-                              std::uint64_t aStartedMs) const
+CrashEvidence::CrashRange CrashEvidence::CrashesOf(
+  std::string_view aBackend,
+  std::uint64_t aStartedMs) const
 {
-  return std::ranges::subrange(
-    crashes_.lower_bound({ std::string(aBackend), aStartedMs, 0 }),
-    crashes_.upper_bound({ std::string(aBackend),
-                           aStartedMs,
-                           std::numeric_limits<std::uint32_t>::max() }));
+  const auto at = [&](std::uint32_t aRestarts) {
+    return CrashKey{ std::string(aBackend), aStartedMs, aRestarts };
+  };
+  return { crashes_.lower_bound(at(0)),
+           crashes_.upper_bound(
+             at(std::numeric_limits<std::uint32_t>::max())) };
 }
 
 std::uint32_t CrashEvidence::RestartsBefore(std::string_view aBackend,
@@ -67,11 +68,13 @@
                                             Instant aOpenedAt) const
 {
   std::uint32_t restarts = 0;
-  for (const auto& [key, crash] : CrashesOf(aBackend, aStartedMs)) {
+  const CrashRange crashes = CrashesOf(aBackend, aStartedMs);
+  std::for_each(crashes.first, crashes.second, [&](const auto& aItem) {
+    const auto& [key, crash] = aItem;
     if (crash.at < aOpenedAt && !crash.wasSilent) {
       restarts = std::max(restarts, std::get<std::uint32_t>(key) + 1);
     }
-  }
+  });
   return restarts;
 }
 
@@ -147,8 +150,9 @@
     }
   }
   if (isNew || crash.at != former) {
-    std::ranges::copy(crash.positions | std::views::keys,
-                      std::inserter(aTouched, aTouched.end()));
+    std::ranges::transform(crash.positions,
+                           std::inserter(aTouched, aTouched.end()),
+                           [](const auto& aItem) { return aItem.first; });
   }
   return isNew;
 }
@@ -174,11 +178,13 @@
 {
   const Instant at = aNow - aLife.age;
   std::vector<CrashKey> settled;
-  for (const auto& [key, crash] : CrashesOf(aLife.backend, aLife.startedMs)) {
+  const CrashRange crashes = CrashesOf(aLife.backend, aLife.startedMs);
+  std::for_each(crashes.first, crashes.second, [&](const auto& aItem) {
+    const auto& [key, crash] = aItem;
     if (crash.proof == EndProof::Suspected && crash.at < at) {
       settled.push_back(key);
     }
-  }
+  });
   for (const CrashKey& key : settled) {
     Erase(crashes_.find(key), aTouched);
   }
@@ -190,15 +196,13 @@
                                 Instant aOpenedAt,
                                 Instant aNow) const
 {
-  return !crashes_.empty() &&
-         std::ranges::any_of(CrashesOf(aBackend, aStartedMs),
-                             [&](const auto& aItem) {
-                               const Crash& crash = aItem.second;
-                               // A connection that was opened later may lead to
-                               // a restarted process.
-                               return crash.proof == EndProof::Suspected &&
-                                      aOpenedAt <= crash.at && crash.at < aNow;
-                             });
+  const CrashRange crashes = CrashesOf(aBackend, aStartedMs);
+  return std::any_of(crashes.first, crashes.second, [&](const auto& aItem) {
+    const Crash& crash = aItem.second;
+    // A connection that was opened later may lead to a restarted process.
+    return crash.proof == EndProof::Suspected && aOpenedAt <= crash.at &&
+           crash.at < aNow;
+  });
 }
 
 bool CrashEvidence::Add(const CrashReport& aReport, Instant aNow)
--- a/core/gateway/crash_evidence.h
+++ b/core/gateway/crash_evidence.h
@@ -265,6 +265,8 @@
   };
 
   using Crashes = std::map<CrashKey, Crash>;
+  using CrashRange =
+    std::pair<Crashes::const_iterator, Crashes::const_iterator>;
 
   bool AddCrash(const ServerCrash& aCrash,
                 Instant aNow,
@@ -280,7 +282,8 @@
   bool IsExpired(const Crash& aCrash, Instant aNow) const;
   Crashes::iterator Erase(Crashes::iterator aCrash, TouchedTraits& aTouched);
   /** The crashes of one incarnation. */
-  auto CrashesOf(std::string_view aBackend, std::uint64_t aStartedMs) const;
+  CrashRange CrashesOf(std::string_view aBackend,
+                       std::uint64_t aStartedMs) const;
   /** Whether few servers crashed shortly before or after, so that they have not
    * been lost together. */
   bool IsSingle(const Crash& aCrash) const;
