Reserve the vectors of two tests

Change: tests/gateway/test_replica_choice.cpp and test_store_knowledge.cpp reserve their vectors. No check is changed.

--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -368,6 +368,7 @@
   BackendLoads loads;
   const auto report = [&](int aPeer, std::uint32_t aRunning) {
     std::vector<BackendLoad> own;
+    own.reserve(kServersOfPeer);
     for (int index = 0; index < kServersOfPeer; ++index) {
       own.push_back(
         { "i-" + std::to_string((aPeer + index * peers) % servers), aRunning });
--- a/tests/gateway/test_store_knowledge.cpp
+++ b/tests/gateway/test_store_knowledge.cpp
@@ -267,6 +267,7 @@
   StoreKnowledge knowledge("10.0.0.0:1", 1);
   knowledge.OnVersion({ 0, 3 });
   std::vector<std::string> live;
+  live.reserve(kPeers);
   for (int peer = 0; peer < kPeers; ++peer) {
     live.push_back("10.0.0." + std::to_string(peer) + ":2");
   }
