--- a/review/stand_ins_2/platform.cpp
+++ b/review/stand_ins_2/platform.cpp
@@ -22,8 +22,8 @@
 
 namespace {
 
-/** The store of the stand-in has one revision: nothing changes. */
-constexpr int kRevision = 100;
+/** How often a watch looks for a change. */
+constexpr Milliseconds kWatchInterval{ 5 };
 constexpr Milliseconds kReadTimeout{ 30'000 };
 constexpr Milliseconds kReadyTimeout{ 10'000 };
 constexpr Milliseconds kReadyInterval{ 100 };
@@ -116,7 +116,8 @@
 
 void Platform::Put(const std::string& aKey, const json::object& aValue)
 {
-  items_[aKey] = json::serialize(aValue);
+  const std::lock_guard lock(mutex_);
+  items_[aKey] = { json::serialize(aValue), ++revision_ };
 }
 
 void Platform::Register(const std::string& aId,
@@ -138,28 +139,42 @@
         { "born", now.count() - 60'000 } });
 }
 
-std::string Platform::Respond(const std::string& aTarget) const
+json::array Platform::ItemsSince(const std::string& aPrefix, int aRevision)
 {
-  json::object body{ { "store-revision", kRevision } };
-  if (aTarget.starts_with("/gypsumstream/kv-watch")) {
-    const std::string wait = ParameterOf(aTarget, "wait-ms");
-    std::this_thread::sleep_for(Milliseconds(std::atol(wait.c_str())));
-    body["events"] = json::array{};
-    return json::serialize(body);
+  const std::lock_guard lock(mutex_);
+  json::array list;
+  for (const auto& [key, item] : items_) {
+    if (key.starts_with(aPrefix) && item.revision > aRevision) {
+      list.push_back(json::object{ { "key", key },
+                                   { "value", Base64(item.value) },
+                                   { "revision", item.revision },
+                                   { "created-rev", item.revision },
+                                   { "lease", 0 } });
+    }
   }
+  return list;
+}
+
+std::string Platform::Respond(const std::string& aTarget)
+{
   const std::string prefix = ParameterOf(aTarget, "prefix");
-  json::array items;
-  for (const auto& [key, value] : items_) {
-    if (key.starts_with(prefix)) {
-      items.push_back(json::object{ { "key", key },
-                                    { "value", Base64(value) },
-                                    { "revision", kRevision },
-                                    { "created-rev", kRevision },
-                                    { "lease", 0 } });
+  json::object body;
+  if (aTarget.starts_with("/gypsumstream/kv-watch")) {
+    const int after = std::atoi(ParameterOf(aTarget, "after").c_str());
+    const Milliseconds wait(std::atoi(ParameterOf(aTarget, "wait-ms").c_str()));
+    json::array events = ItemsSince(prefix, after);
+    for (Milliseconds waited{ 0 }; events.empty() && waited < wait;
+         waited += kWatchInterval) {
+      std::this_thread::sleep_for(kWatchInterval);
+      events = ItemsSince(prefix, after);
     }
+    body["events"] = std::move(events);
+  } else {
+    body["items"] = ItemsSince(prefix, 0);
+    body["more-pages"] = false;
   }
-  body["items"] = std::move(items);
-  body["more-pages"] = false;
+  const std::lock_guard lock(mutex_);
+  body["store-revision"] = revision_;
   return json::serialize(body);
 }
 
--- a/review/stand_ins_2/platform.h
+++ b/review/stand_ins_2/platform.h
@@ -2,6 +2,7 @@
 
 #include "review/stand_ins_2/net.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <sys/types.h>
 
@@ -47,7 +48,7 @@
   Platform(const Platform&) = delete;
   Platform& operator=(const Platform&) = delete;
 
-  /** Writes an item; call before a gateway is started. */
+  /** Writes an item; its return is the acknowledgement. */
   void Put(const std::string& aKey, const boost::json::object& aValue);
   /** The entry of a replica that is ready. */
   void Register(const std::string& aId,
@@ -68,14 +69,24 @@
   int ClientPort() const { return clientPort_; }
 
 private:
+  struct Item
+  {
+    std::string value;
+    int revision = 0;
+  };
+
   void ServeStore(Socket& aConnection);
-  std::string Respond(const std::string& aTarget) const;
+  std::string Respond(const std::string& aTarget);
+  /** The items of a prefix that were written after a revision. */
+  boost::json::array ItemsSince(const std::string& aPrefix, int aRevision);
   std::string SettingsOf(unsigned aHost) const;
   bool WaitUntilReady(unsigned aHost);
 
   Record& record_;
   std::string folder_;
-  std::map<std::string, std::string> items_;
+  std::mutex mutex_; ///< Of the items and the revision.
+  std::map<std::string, Item> items_;
+  int revision_ = 100;
   std::unique_ptr<Server> store_;
   int clientPort_ = 0;
   int readyPort_ = 0;
