Make the reset under an upload independent of the kernel's bounds

Cause: with kept connections the case rested on the largest buffer that the kernel gives a sender, 4 MB here.

The replicas of case 7 state an idle time of a second, and uploads come every 0.3 s, so that each has a new connection, whose buffers are small.

--- a/review/stand_ins_2/early_reset.cpp
+++ b/review/stand_ins_2/early_reset.cpp
@@ -18,7 +18,12 @@
 constexpr Milliseconds kReadTimeout{ 20'000 };
 /** Below `max-body-bytes`, 4,194,304. */
 constexpr std::size_t kUploadBytes = 4'190'000;
-constexpr int kUploads = 60;
+constexpr int kUploads = 100;
+/** Longer than the gateway keeps a connection that its replica closes after a
+ * second, so that each upload has a connection with small buffers. */
+constexpr Milliseconds kUploadInterval{ 300 };
+/** Idle time of connections, as the replicas state it. */
+constexpr Milliseconds kIdleTime{ 1'000 };
 /** One of so many answers of a replica is spoiled: 0.05 of them. */
 constexpr int kAnswersPerSpoiled = 20;
 /** Time in which the part reaches the gateway before the reset. */
@@ -45,13 +50,14 @@
 private:
   void Serve(Socket& aConnection)
   {
-    while (auto request = aConnection.ReadHead(kReadTimeout)) {
+    while (auto request = aConnection.ReadHead(kIdleTime)) {
       if (const auto report = ReportFor(*request)) {
         aConnection.Send(*report);
         continue;
       }
       const std::string attempt = request->Field("attempt-id");
-      const std::string fields = FieldsOfRun(attempt);
+      const std::string fields =
+        FieldsOfRun(attempt) + "Keep-Alive: timeout=1\r\n";
       const bool isSpoiled =
         isFaulty_ && HasTrouble() && ++answers_ % kAnswersPerSpoiled == 0;
       record_.Write("run " + attempt + " at " + id_ +
@@ -113,6 +119,7 @@
   const std::string body(kUploadBytes, 'u');
   int broken = 0;
   for (int upload = 0; upload < kUploads; ++upload) {
+    std::this_thread::sleep_for(kUploadInterval);
     auto connection = Socket::Connect(aPort);
     const std::string attempt = "5eed00000000" + std::to_string(1'000 + upload);
     aRecord.Write("sent " + attempt);
