Write a request to its end if its server responds early and reads on

What callers saw: a 200 for an upload of which the server had got a part only. A server that responds before it has read a long body, keeps the connection and reads on had its connection closed when the response was complete.

Cause: Finish closed each connection whose write was pending, so that nothing else is written in the place of the rest.

Change: the write goes on without the exchange until its end, or until the last deadline of a read; the connection returns to the pool only after that. Servers that fail the request, say that they close or send further bytes get no more, as before. The bytes count against the budget of all bodies meanwhile.

--- a/drivers/edge/backend_exchange.cpp
+++ b/drivers/edge/backend_exchange.cpp
@@ -36,6 +36,7 @@
 /** Offers another protocol, for which no request asks. */
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kFirstErrorStatus = 400;
 constexpr unsigned kLastStatus = 599;
 
 bool IsValidStatus(unsigned aStatus)
@@ -56,11 +57,33 @@
   {
   }
 
+  void OnEnded(const boost::system::error_code& aError, BackendPool& aPool)
+  {
+    state = aError ? RequestWrite::Failed : RequestWrite::Written;
+    error = aError;
+    ended.cancel();
+    if (aError && aError != asio::error::operation_aborted) {
+      aPool.CountFailedWrite();
+    }
+    if (!idleTime) {
+      return;
+    }
+    aPool.BodyBudget().Return(request.body().size());
+    if (aError) {
+      connection->stream.close();
+    } else {
+      aPool.Release(std::exchange(connection, nullptr), *idleTime);
+    }
+  }
+
   Request request;
   BackendConnectionPtr connection;
   RequestWrite state = RequestWrite::Pending;
   boost::system::error_code error;
   asio::steady_timer ended; ///< Cancelled when the write ends.
+  /** Set once the exchange is over: the body counts against the budget of all
+   * bodies, and the connection goes to the pool if the write succeeds. */
+  std::optional<Duration> idleTime;
 };
 
 BackendExchange::BackendExchange(BackendPool& aPool, std::string aAddress)
@@ -118,13 +141,7 @@
                     pendingWrite_->request,
                     [&pool = pool_, pendingWrite = pendingWrite_](
                       boost::system::error_code aError, std::size_t) {
-                      pendingWrite->state =
-                        aError ? RequestWrite::Failed : RequestWrite::Written;
-                      pendingWrite->error = aError;
-                      pendingWrite->ended.cancel();
-                      if (aError && aError != asio::error::operation_aborted) {
-                        pool.CountFailedWrite();
-                      }
+                      pendingWrite->OnEnded(aError, pool);
                     });
 }
 
@@ -279,18 +296,33 @@
 
 void BackendExchange::Finish(std::optional<Duration> aIdleTime, bool aMayReuse)
 {
-  const bool isClean = connection_ && pendingWrite_ &&
-                       GetWrite() == RequestWrite::Written && parser_ &&
+  const bool isClean = connection_ && pendingWrite_ && parser_ &&
                        parser_->is_done() && parser_->keep_alive() &&
                        !parser_->need_eof() && connection_->buffer.size() == 0;
-  if (!isClean || !aMayReuse) {
+  if (!isClean || !aMayReuse || !MayWriteOn()) {
     Cancel();
     connection_.reset();
     return;
   }
   ++connection_->uses;
-  pool_.Release(std::exchange(connection_, nullptr),
-                aIdleTime.value_or(BackendPool::kDefaultIdleTime));
+  const Duration idleTime = aIdleTime.value_or(BackendPool::kDefaultIdleTime);
+  if (GetWrite() == RequestWrite::Written) {
+    pool_.Release(std::exchange(connection_, nullptr), idleTime);
+    return;
+  }
+  pendingWrite_->idleTime = idleTime;
+  connection_.reset();
+}
+
+bool BackendExchange::MayWriteOn()
+{
+  if (GetWrite() != RequestWrite::Pending) {
+    return GetWrite() == RequestWrite::Written;
+  }
+  // A server that has responded early may read the rest of the request later,
+  // but needs none of one that it has failed.
+  return parser_->get().result_int() < kFirstErrorStatus &&
+         pool_.BodyBudget().Take(pendingWrite_->request.body().size());
 }
 
 } // namespace gypsum
--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -79,7 +79,9 @@
 
   /** Closes the connection; a pending read returns `Broken`. */
   void Cancel();
-  /** Returns the connection to the pool if it can be reused, else closes it. */
+  /** Returns the connection to the pool if it can be reused, else closes it. If
+   * the request is still being written to a server that has not failed it, does
+   * so at the end of the write, or at the last deadline of a read. */
   void Finish(std::optional<Duration> aIdleTime, bool aMayReuse);
   /** When its connection was opened; call after `Connect`. */
   Instant OpenedAt() const { return connection_->openedAt; }
@@ -96,6 +98,9 @@
 
   /** Stores how the connection ended; returns the state after an error. */
   ExchangeState OnReadError(const boost::system::error_code& aError);
+  /** Whether the server gets the rest of the request after its response; takes
+   * a pending one's bytes from `BackendPool::BodyBudget`. */
+  bool MayWriteOn();
   /** `Ok` if the body is complete, which the HTTP reader takes as ended. */
   boost::asio::awaitable<ExchangeState> CheckBodyEnd(Instant aDeadline);
 
--- a/tests/gateway/test_edge.cpp
+++ b/tests/gateway/test_edge.cpp
@@ -191,6 +191,11 @@
     return loop.Run([&] { return pool.IdleCount(); });
   }
 
+  std::size_t BudgetLeft()
+  {
+    return loop.Run([&] { return pool.BodyBudget().Left(); });
+  }
+
   /** Above all bounds and the buffers of both sockets. */
   static constexpr std::size_t kMostSentBytes = 64'000'000;
   /** Above the largest send buffer of a connection. */
@@ -478,6 +483,51 @@
   CHECK(IdleCount() == 0);
 }
 
+TEST_CASE_FIXTURE(ExchangeFixture,
+                  "[Edge] a server that responds early and reads on gets the "
+                  "whole request, and its connection is kept only then")
+{
+  std::optional<RawSocket> kept;
+  const Received received = Upload([&](RawSocket& aSocket) {
+    aSocket.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall of it");
+    kept = std::move(aSocket);
+  });
+  CHECK(received.body.state == ExchangeState::Ok);
+  CHECK(received.body.bytes == "all of it");
+  CHECK(IdleCount() == 0);
+  SUBCASE("read after a pause")
+  {
+    std::this_thread::sleep_for(milliseconds(500));
+    const std::string request = kept->ReadBytes(kUploadBytes);
+    CHECK(request.size() == kUploadBytes);
+    CHECK(request.find_first_not_of('u') == std::string::npos);
+    CHECK(WaitUntil([&] { return IdleCount() == 1; }, seconds(3)));
+    CHECK(BudgetLeft() == BackendPool::kBodyBudget);
+  }
+  SUBCASE("never read")
+  {
+    CHECK(BudgetLeft() == BackendPool::kBodyBudget - kUploadBytes);
+    CHECK(WaitUntil([&] { return BudgetLeft() == BackendPool::kBodyBudget; },
+                    seconds(10)));
+    CHECK(IdleCount() == 0);
+    CHECK(kept->ReadToEnd().size() < kUploadBytes);
+  }
+}
+
+TEST_CASE_FIXTURE(ExchangeFixture,
+                  "[Edge] a server that fails a request early gets no more of "
+                  "it")
+{
+  std::size_t readBytes = kUploadBytes;
+  const Received received = Upload([&](RawSocket& aSocket) {
+    aSocket.Send("HTTP/1.1 413 X\r\nContent-Length: 0\r\n\r\n");
+    std::this_thread::sleep_for(milliseconds(500));
+    readBytes = aSocket.ReadToEnd().size();
+  });
+  CHECK(received.status == 413);
+  CHECK(readBytes < kUploadBytes);
+}
+
 TEST_CASE_FIXTURE(ExchangeFixture,
                   "[Edge] a connection with bytes after the response is closed")
 {
@@ -573,8 +623,7 @@
   begin();
   sockets.back().Send(start + "2\r\n\r\nok");
   CHECK(bodies.back().get().body.bytes == "ok");
-  const std::size_t left = loop.Run([&] { return pool.BodyBudget().Left(); });
-  CHECK(left < BackendPool::kBodyBudget);
+  CHECK(BudgetLeft() < BackendPool::kBodyBudget);
   for (RawSocket& socket : sockets) {
     socket.Send("b");
   }
@@ -585,8 +634,7 @@
   }
   CHECK(whole > 0);
   CHECK(whole * longBody.size() <= BackendPool::kBodyBudget);
-  CHECK(loop.Run([&] { return pool.BodyBudget().Left(); }) ==
-        BackendPool::kBodyBudget);
+  CHECK(BudgetLeft() == BackendPool::kBodyBudget);
 }
 
 } // namespace gypsum::tests
--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -141,6 +141,15 @@
   return text;
 }
 
+std::string RawSocket::ReadBytes(std::size_t aCount) const
+{
+  std::string text;
+  while (text.size() < aCount &&
+         ReadMore(descriptor_, text, aCount - text.size())) {
+  }
+  return text;
+}
+
 bool RawSocket::EndsWithReset() const
 {
   errno = 0;
@@ -159,18 +168,13 @@
 
 std::string RawSocket::ReadMessage() const
 {
-  std::string text = ReadUntil(kEndOfHeader);
+  const std::string text = ReadUntil(kEndOfHeader);
   const std::size_t mark = text.find(kContentLength);
   if (mark == std::string::npos) {
     return text;
   }
-  const std::size_t length =
-    std::stoull(text.substr(mark + kContentLength.size()));
-  const std::size_t expectedSize = text.size() + length;
-  while (text.size() < expectedSize &&
-         ReadMore(descriptor_, text, expectedSize - text.size())) {
-  }
-  return text;
+  return text +
+         ReadBytes(std::stoull(text.substr(mark + kContentLength.size())));
 }
 
 RawListener::RawListener(const std::string& aAddress,
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
   bool Send(std::string_view aBytes) const;
   /** Reads until the end of the stream, a reset or the read timeout. */
   std::string ReadToEnd() const;
+  /** Reads this many bytes; fewer where `ReadToEnd` stops. */
+  std::string ReadBytes(std::size_t aCount) const;
   /** Reads until the connection ends; true if it was reset. */
   bool EndsWithReset() const;
   /** Reads up to and including a text; stops early where `ReadToEnd` stops. */
