Wait for ports that a predecessor holds, and bind all before any serves

Cause: each listener bound in its constructor, and the first error ended the process, without the port's name; the peer port came after the others accepted.

Change: PortBinding binds in one step, has all listen once all are bound, and tries again what is held. BindSchedule: for the grace period of a predecessor and 2 s. SIGTERM ends the wait at once; port-held and start-failed name the port. A held metrics port keeps no gateway from serving. Other errors of the start end the process with a line, too.

Why it works: a predecessor that is stopped is killed after its grace period, and its ports are free then; a port that is held for longer has another owner.

--- a/drivers/edge/edge_listener.cpp
+++ b/drivers/edge/edge_listener.cpp
@@ -37,14 +37,45 @@
   if (!endpoint) {
     throw std::invalid_argument("expected IPv4:PORT, found '" + aAddress + "'");
   }
-  acceptor_.open(endpoint->protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(*endpoint);
-  acceptor_.listen(asio::socket_base::max_listen_connections);
+  endpoint_ = *endpoint;
+}
+
+std::error_code EdgeListener::Bind()
+{
+  boost::system::error_code error;
+  acceptor_.open(endpoint_.protocol(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint_, error);
+  }
+  if (error) {
+    StopAccepting();
+  }
+  return error;
+}
+
+std::error_code EdgeListener::Listen()
+{
+  boost::system::error_code error;
+  acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    StopAccepting();
+  }
+  isListening_ = !error;
+  return error;
 }
 
 void EdgeListener::Start()
 {
+  if (!isListening_) {
+    std::error_code error = Bind();
+    error = error ? error : Listen();
+    if (error) {
+      throw std::system_error(error, "listen");
+    }
+  }
   asio::co_spawn(loop_, AcceptLoop(), asio::detached);
 }
 
--- a/drivers/edge/edge_listener.h
+++ b/drivers/edge/edge_listener.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <system_error>
 
 namespace gypsum {
 
@@ -23,14 +24,17 @@
   using Session =
     std::function<boost::asio::awaitable<void>(ClientConnectionPtr)>;
 
-  /**
-   * Throws `std::system_error` if the address cannot be bound, and
-   * `std::invalid_argument` if it is malformed.
-   */
+  /** Throws `std::invalid_argument` if the address is malformed. */
   EdgeListener(boost::asio::io_context& aLoop,
                const std::string& aAddress,
                Session aSession);
 
+  /** Takes the address; connections are refused until `Listen`. */
+  std::error_code Bind();
+  /** Has the kernel accept connections; gives the address up on error. */
+  std::error_code Listen();
+  /** Serves connections; binds and listens first if that was not done, and
+   * throws `std::system_error` if the address can't be had. */
   void Start();
   void StopAccepting();
   /** Closes the connections that are between requests. */
@@ -51,7 +55,9 @@
   boost::asio::awaitable<void> Run(ClientConnectionPtr aConnection);
 
   boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::endpoint endpoint_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  bool isListening_ = false;
   Session session_;
   std::set<ClientConnectionPtr> connections_;
 };
--- a/drivers/peer/peer_transport.cpp
+++ b/drivers/peer/peer_transport.cpp
@@ -102,9 +102,22 @@
   }
 }
 
+std::error_code PeerTransport::Bind()
+{
+  try {
+    router_.bind("tcp://" + bindAddress_);
+  } catch (const zmq::error_t& error) {
+    return { error.num(), std::generic_category() };
+  }
+  isBound_ = true;
+  return {};
+}
+
 void PeerTransport::Start(Kernel& /*aKernel*/)
 {
-  router_.bind("tcp://" + bindAddress_);
+  if (const std::error_code error = isBound_ ? std::error_code() : Bind()) {
+    throw std::system_error(error, "peers at " + bindAddress_);
+  }
   Watch(wakeDescriptor_, nullptr);
   Watch(router_.get(zmq::sockopt::fd), &router_);
   const SignalBlock signals;
--- a/drivers/peer/peer_transport.h
+++ b/drivers/peer/peer_transport.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -60,6 +61,10 @@
   /** Replies along the route of a received message. */
   void SendBack(Route aRoute, const PeerMessage& aMessage);
 
+  /** Accepts connections of peers, whose messages wait for `Start`. */
+  std::error_code Bind();
+  /** Binds first if that was not done, and throws `std::system_error` if the
+   * address can't be had. */
   void Start(Kernel& aKernel);
   void Stop();
   void Describe(boost::json::object& aState) const;
@@ -107,6 +112,7 @@
   FailureHandler failureHandler_;
   zmq::context_t context_;
   zmq::socket_t router_;
+  bool isBound_ = false;
   std::map<std::string, zmq::socket_t> dealers_;
   int wakeDescriptor_ = -1; ///< Readable while messages are queued.
   int pollDescriptor_ = -1; ///< Of epoll; knows all sockets and the wake.
--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -1,8 +1,10 @@
 #include "servers/gateway/gateway_process.h"
 
+#include "core/gateway/bind_schedule.h"
 #include "drivers/clock.h"
 #include "kernel/signal_block.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -71,6 +73,16 @@
            : "";
 }
 
+ListeningPort PortOf(std::string_view aName,
+                     const std::string& aAddress,
+                     EdgeListener& aListener)
+{
+  return { aName,
+           aAddress,
+           [&aListener] { return aListener.Bind(); },
+           [&aListener] { return aListener.Listen(); } };
+}
+
 ProcessId MakeProcessId(const GatewaySettings& aSettings)
 {
   return { aSettings.name, DrawIncarnation() };
@@ -105,6 +117,9 @@
                        [this](ClientConnectionPtr aClient) {
                          return ServeOperatorEndpoint(std::move(aClient));
                        })
+  , ports_(aLog)
+  , metricsPort_(aLog)
+  , bindTimer_(loop_)
   , signals_(loop_, SIGTERM, SIGINT, SIGHUP)
 {
   const auto serveOperatorEndpoint = [this](ClientConnectionPtr aClient) {
@@ -118,6 +133,20 @@
     metricsListener_.emplace(
       loop_, aSettings.metricsAddress, serveOperatorEndpoint);
   }
+  ports_.Add(PortOf("clients", aSettings.clientAddress, clientListener_));
+  ports_.Add(PortOf("ready", aSettings.readyAddress, readinessListener_));
+  if (controlListener_) {
+    ports_.Add(PortOf("control", aSettings.controlAddress, *controlListener_));
+  }
+  if (metricsListener_) {
+    metricsPort_.Add(
+      PortOf("metrics", aSettings.metricsAddress, *metricsListener_));
+  }
+  // Last, since it accepts connections as soon as it is bound.
+  ports_.Add({ "peers",
+               aSettings.peerAddress,
+               [this] { return peers_.Bind(); },
+               [] { return std::error_code(); } });
   peers_.SetHandler(
     [this](const Route& aRoute, const PeerHeader& aHeader, PeerBody aBody) {
       if (!knowledge_.OnPeerMessage(aRoute, aHeader, aBody) &&
@@ -169,20 +198,15 @@
                      { "clients", state_.settings.clientAddress },
                      { "peers", state_.settings.peerAddress },
                      { "store", state_.settings.storeAddress } });
-  clientListener_.Start();
-  readinessListener_.Start();
-  if (controlListener_) {
-    controlListener_->Start();
-  }
-  if (metricsListener_) {
-    metricsListener_->Start();
-  }
-  peers_.Start();
-  knowledge_.Start();
-  pieces_.Start();
-  store_.Start();
+  asio::co_spawn(
+    loop_, StartServing(), [this](const std::exception_ptr& aError) {
+      if (aError) {
+        state_.tasks.Report("start", aError);
+        hasFailed_ = true;
+        loop_.stop();
+      }
+    });
   state_.tasks.SpawnEndless("signals", [this] { return HandleSignals(); });
-  state_.tasks.SpawnEndless("housekeeping", [this] { return Housekeeping(); });
   SetSignalMask(aMask);
   state_.tasks.RunLoop();
   // A signal after the last request has no handler any more.
@@ -196,6 +220,61 @@
   return hasFailed_ ? 1 : 0;
 }
 
+asio::awaitable<bool> GatewayProcess::BindPorts()
+{
+  const BindSchedule schedule(Now().steady, state_.settings.gracePeriod);
+  while (!ports_.TryAll()) {
+    state_.log.Flush();
+    const auto next =
+      ports_.MayRetry() ? schedule.NextTry(Now().steady) : std::nullopt;
+    if (!next) {
+      ports_.LogFailure();
+      hasFailed_ = true;
+      co_return false;
+    }
+    bindTimer_.expires_at(*next);
+    boost::system::error_code ignored;
+    co_await bindTimer_.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+    if (state_.IsStopping()) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+void GatewayProcess::TryMetricsPort()
+{
+  if (!metricsListener_ || hasMetricsPort_ || !metricsPort_.TryAll()) {
+    return;
+  }
+  hasMetricsPort_ = true;
+  metricsListener_->Start();
+}
+
+asio::awaitable<void> GatewayProcess::StartServing()
+{
+  const Instant begin = Now().steady;
+  if (!co_await BindPorts()) {
+    loop_.stop();
+    co_return;
+  }
+  isServing_ = true;
+  clientListener_.Start();
+  readinessListener_.Start();
+  if (controlListener_) {
+    controlListener_->Start();
+  }
+  TryMetricsPort();
+  peers_.Start();
+  knowledge_.Start();
+  pieces_.Start();
+  store_.Start();
+  state_.tasks.SpawnEndless("housekeeping", [this] { return Housekeeping(); });
+  state_.log.Write(
+    LogClass::StateChange, "listening", { { "waited", Now().steady - begin } });
+}
+
 bool GatewayProcess::IsReady() const
 {
   return state_.KnowsEnoughToServe() && !state_.IsStopping();
@@ -438,6 +517,7 @@
       state_.pool.CloseExpired(now);
       state_.log.Flush();
     }
+    TryMetricsPort();
     if (round % kRoundsPerSettingsCheck == 0) {
       CheckSettings();
       LogWork();
@@ -469,6 +549,10 @@
     return;
   }
   state_.stop.emplace(Now().steady, state_.settings.gracePeriod);
+  if (!isServing_) {
+    bindTimer_.cancel();
+    return;
+  }
   clientListener_.CloseAfterResponses();
   state_.log.Write(LogClass::StateChange,
                    "stopping",
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -9,12 +9,14 @@
 #include "servers/gateway/peer_exchange.h"
 #include "servers/gateway/piece_service.h"
 #include "servers/gateway/platform_state.h"
+#include "servers/gateway/port_binding.h"
 #include "servers/gateway/request_handler.h"
 #include "servers/gateway/store_follower.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
 #include <cstdint>
@@ -47,6 +49,13 @@
 private:
   boost::asio::awaitable<void> ServeOperatorEndpoint(
     ClientConnectionPtr aClient);
+  /** Binds the ports, and serves as soon as all are bound. */
+  boost::asio::awaitable<void> StartServing();
+  /** Tries to bind until the ports are had, the gateway is stopped or the wait
+   * for them is over; returns whether they are. */
+  boost::asio::awaitable<bool> BindPorts();
+  /** Binds the port of the metrics, without which the gateway serves too. */
+  void TryMetricsPort();
   boost::asio::awaitable<void> HandleSignals();
   /** Starts the graceful stop; has no effect on a gateway that stops. */
   void BeginStop();
@@ -83,6 +92,11 @@
   EdgeListener readinessListener_;
   std::optional<EdgeListener> controlListener_;
   std::optional<EdgeListener> metricsListener_;
+  PortBinding ports_; ///< Those that the gateway needs to serve.
+  PortBinding metricsPort_;
+  bool hasMetricsPort_ = false;
+  bool isServing_ = false; ///< The ports are bound.
+  boost::asio::steady_timer bindTimer_;
   boost::asio::signal_set signals_;
   /** Maximum lag of the event loop since the last metrics report. */
   Duration maxLoopDelay_{};
--- a/servers/gateway/peer_exchange.h
+++ b/servers/gateway/peer_exchange.h
@@ -107,6 +107,8 @@
   {
     limitsHandler_ = std::move(aHandler);
   }
+  /** Takes the port for peers; see `PeerTransport::Bind`. */
+  std::error_code Bind() { return transport_.Bind(); }
   void Start();
   void Stop();
 
--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -81,6 +81,8 @@
     gateway.clientAddress = WithPort(gateway.hostAddress, kClientPort);
     gateway.readyAddress = WithPort(gateway.hostAddress, kReadyPort);
     gateway.metricsAddress = WithPort(gateway.hostAddress, kMetricsPort);
+    gateway.controlAddress = WithPort(gateway.hostAddress, kControlPort);
+    gateway.peerAddress = WithPort(gateway.hostAddress, kPeerPort);
     gateway.storeAddress =
       WithPort(networkPrefix_ + "1", kFirstDoorPort + index);
     gateway.storeDoor = static_cast<std::size_t>(index) + 1;
@@ -153,7 +155,7 @@
       << "\nprocessor_share = 0.5\n"
       << "[network]\nclients = " << aGateway.clientAddress
       << "\nready = " << aGateway.readyAddress
-      << "\ncontrol = " << WithPort(aGateway.hostAddress, kControlPort)
+      << "\ncontrol = " << aGateway.controlAddress
       << "\nmetrics = " << aGateway.metricsAddress
       << "\nstore = " << aGateway.storeAddress << "\npeer_port = " << aPeerPort
       << "\nseeds = " << WithPort(aSeedHost, kControlPort)
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -34,6 +34,8 @@
   std::string clientAddress;
   std::string readyAddress;
   std::string metricsAddress;
+  std::string controlAddress;
+  std::string peerAddress;
   std::string storeAddress; ///< A door of the store for this gateway only.
   std::size_t storeDoor = 0;
   std::string settingsFile;
