Let the soak start gateways while their predecessors are still there

Cause: each restart of the soak waited for the end of the process before, so that it could not show a gateway that ends because a port is held.

In each soak, a gateway process that ended in another way than it was told to is a violation.

--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -91,6 +91,7 @@
   , staleRandom_(aSeed)
   , zoneRandom_(aSeed)
   , cell_(aSize, aSeed)
+  , successions_(cell_, aSeed)
   , faultDuration_(aFaultDuration)
 {
 }
@@ -357,16 +358,43 @@
       }
     }
   });
-  for (CellGateway& gateway : cell_.Gateways()) {
+  for (std::size_t index = 0; index < cell_.Gateways().size(); ++index) {
     // The platform restarts a process that has exited.
-    if (!gateway.process->IsRunning()) {
-      disturbedAt_[static_cast<std::size_t>(&gateway - cell_.Gateways().data())]
-        .push_back(Now().steady);
-      cell_.StartGateway(gateway);
+    if (!cell_.Gateways()[index].process->IsRunning()) {
+      disturbedAt_[index].push_back(Now().steady);
+      StartAgain(index);
     }
   }
 }
 
+void Soak::StartAgain(std::size_t aGateway)
+{
+  CellGateway& gateway = cell_.Gateways()[aGateway];
+  const std::string end =
+    GatewaySuccessions::DescribeEnd(gateway.logFile, gateway.process->Wait());
+  if (!end.empty()) {
+    report_.violations.push_back(end);
+  }
+  cell_.StartGateway(gateway);
+}
+
+void Soak::InjectSuccession()
+{
+  EndPredecessors(false);
+  const auto begun = successions_.Begin();
+  RecordFault(begun.name);
+  for (const std::size_t gateway : begun.gateways) {
+    disturbedAt_[gateway].push_back(Now().steady);
+  }
+}
+
+void Soak::EndPredecessors(bool aIsEnd)
+{
+  for (const std::size_t gateway : successions_.EndPredecessors(aIsEnd)) {
+    disturbedAt_[gateway].push_back(Now().steady);
+  }
+}
+
 void Soak::InjectHardship()
 {
   const Instant now = Now().steady;
@@ -734,6 +762,9 @@
     if (hasZones_) {
       InjectEvacuation();
     }
+    if (hasSuccessions_) {
+      InjectSuccession();
+    }
     std::this_thread::sleep_for(milliseconds(200 + random_() % 800));
     ClearFaults();
   }
@@ -1039,18 +1070,16 @@
       }
     }
   });
-  for (CellGateway& gateway : cell_.Gateways()) {
-    if (!gateway.process->IsRunning()) {
-      cell_.StartGateway(gateway);
-    }
+  EndPredecessors(true);
+  for (const std::string& end : successions_.UnexpectedEnds()) {
+    report_.violations.push_back(end);
   }
   for (std::size_t index = 0; index < cell_.Gateways().size(); ++index) {
     const auto serves = [&] {
-      CellGateway& gateway = cell_.Gateways()[index];
-      if (!gateway.process->IsRunning()) {
+      if (!cell_.Gateways()[index].process->IsRunning()) {
         // A gateway that received SIGTERM may exit only now; the platform
         // restarts it.
-        cell_.StartGateway(gateway);
+        StartAgain(index);
       }
       CellClient client(cell_.Gateways()[index].clientAddress);
       const CellRequest staged = cell_.MakeStagedRequest();
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tests/cell/cell.h"
+#include "tests/cell/gateway_successions.h"
 
 #include <atomic>
 #include <chrono>
@@ -63,6 +64,8 @@
     hasStaleKnowledge_ = false;
     hasZones_ = false;
   }
+  /** Also starts gateways while their predecessors are still there. */
+  void AddSuccessions() { hasSuccessions_ = true; }
   SoakReport Run();
   Cell& GetCell() { return cell_; }
 
@@ -122,6 +125,11 @@
   /** Whether a gateway ran undisturbed for the time in which gateways learn
    * from each other. */
   bool IsInTouch(std::size_t aGateway, Instant aAt) const;
+  /** Starts a gateway again whose process has ended. */
+  void StartAgain(std::size_t aGateway);
+  void InjectSuccession();
+  /** Ends predecessors whose time is over; all of them if `aIsEnd`. */
+  void EndPredecessors(bool aIsEnd);
   void CheckMemory();
   void RecordViolation(const std::string& aRule, const SoakRequest& aRequest);
 
@@ -137,7 +145,9 @@
   std::mt19937_64 zoneRandom_;
   bool hasStaleKnowledge_ = true;
   bool hasZones_ = true;
+  bool hasSuccessions_ = false;
   Cell cell_;
+  GatewaySuccessions successions_;
   std::chrono::seconds faultDuration_;
   std::atomic<bool> isFinished_ = false;
   std::mutex mutex_;
--- a/tests/cell/soak_main.cpp
+++ b/tests/cell/soak_main.cpp
@@ -15,12 +15,16 @@
              gypsum::tests::CellSize aSize,
              int aSeconds,
              const std::string& aLogFolder,
-             bool aIsOldSchedule)
+             bool aIsOldSchedule,
+             bool aHasSuccessions)
 {
   gypsum::tests::Soak soak(aSeed, aSize, std::chrono::seconds(aSeconds));
   if (aIsOldSchedule) {
     soak.KeepOldSchedule();
   }
+  if (aHasSuccessions) {
+    soak.AddSuccessions();
+  }
   const auto report = soak.Run();
   std::cout << "seed " << aSeed << ": " << report.requests << " requests, "
             << report.executions << " executions, " << report.continuedResumes
@@ -69,6 +73,11 @@
     "k", "keep", "where logs of failed seeds go", false, "", "DIR", line);
   TCLAP::SwitchArg old(
     "o", "old-schedule", "without stale knowledge, for older seeds", line);
+  TCLAP::SwitchArg successions(
+    "r",
+    "successions",
+    "also starts gateways while their predecessors are still there",
+    line);
   line.parse(aCount, aArguments);
   std::vector<std::uint64_t> seeds = seed.getValue();
   if (seeds.size() < 2) {
@@ -81,7 +90,8 @@
                     { gateways.getValue(), 4, 3, 3 },
                     length.getValue(),
                     keep.getValue(),
-                    old.getValue());
+                    old.getValue(),
+                    successions.getValue());
   });
   std::cout << static_cast<std::ptrdiff_t>(seeds.size()) - failed << " passed, "
             << failed << " failed\n";
