Read a settings file again that is missing or half written at the start

Cause: the file was read once; at a start there are no former settings to keep.

Change: it is read 20 times a second for up to a second; faults are printed once, by the last try. A stop signal ends the wait with exit code 0.

Why it works: a file in writing is whole within that second, and a process that is told to stop has served nobody yet.

--- a/main/command_support.cpp
+++ b/main/command_support.cpp
@@ -51,12 +51,13 @@
   aLine.parse(words);
 }
 
-std::optional<std::string> ReadFile(const std::string& aPath)
+std::optional<std::string> ReadFile(const std::string& aPath,
+                                    std::ostream& aErrors)
 {
   std::ifstream in(aPath, std::ios::binary);
   // A directory can be opened and reads as an empty file.
   if (!in || std::filesystem::is_directory(aPath)) {
-    std::cerr << aPath << ": cannot be read\n";
+    aErrors << aPath << ": cannot be read\n";
     return std::nullopt;
   }
   std::ostringstream text;
@@ -64,10 +65,12 @@
   return text.str();
 }
 
-void PrintFaults(const std::string& aPath, const Faults& aFaults)
+void PrintFaults(const std::string& aPath,
+                 const Faults& aFaults,
+                 std::ostream& aErrors)
 {
   for (const Fault& fault : aFaults) {
-    std::cerr << ToText(aPath, fault) << "\n";
+    aErrors << ToText(aPath, fault) << "\n";
   }
 }
 
--- a/main/command_support.h
+++ b/main/command_support.h
@@ -4,6 +4,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <iostream>
 #include <optional>
 #include <span>
 #include <string>
@@ -18,10 +19,13 @@
 /** Parses the arguments; throws `TCLAP::ArgException` for a usage error. */
 void Parse(TCLAP::CmdLine& aLine, Arguments aArguments);
 
-/** Reads a file; if that fails, prints the error to standard error. */
-std::optional<std::string> ReadFile(const std::string& aPath);
+/** Reads a file; if that fails, prints the error. */
+std::optional<std::string> ReadFile(const std::string& aPath,
+                                    std::ostream& aErrors = std::cerr);
 
-/** Prints each fault on a line of its own to standard error. */
-void PrintFaults(const std::string& aPath, const Faults& aFaults);
+/** Prints each fault on a line of its own. */
+void PrintFaults(const std::string& aPath,
+                 const Faults& aFaults,
+                 std::ostream& aErrors = std::cerr);
 
 } // namespace gypsum
--- a/main/gateway_command.cpp
+++ b/main/gateway_command.cpp
@@ -1,6 +1,7 @@
 #include "main/gateway_command.h"
 
 #include "core/gateway/gateway_settings.h"
+#include "drivers/clock.h"
 #include "drivers/event_log.h"
 #include "kernel/signal_block.h"
 #include "main/commands.h"
@@ -8,9 +9,15 @@
 
 #include <unistd.h>
 
+#include <chrono>
+#include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <iostream>
 #include <optional>
+#include <sstream>
+#include <string>
+#include <utility>
 #include <variant>
 
 namespace gypsum {
@@ -20,21 +27,59 @@
 /** The platform passes the path of the settings file in this variable. */
 constexpr const char* kSettingsVariable = "GYPSUMSTREAM_BOOT";
 
+/** A settings file that can't be used may still be in writing at the start. */
+constexpr Duration kSettingsWait = std::chrono::seconds(1);
+constexpr Duration kSettingsInterval = std::chrono::milliseconds(50);
+
 /** Reads and validates a settings file; if that fails, prints the faults. */
-std::optional<GatewaySettings> ReadSettings(const std::string& aPath)
+std::optional<GatewaySettings> ReadSettings(const std::string& aPath,
+                                            std::ostream& aErrors)
 {
-  const auto text = ReadFile(aPath);
+  const auto text = ReadFile(aPath, aErrors);
   if (!text) {
     return std::nullopt;
   }
   auto settings = ParseGatewaySettings(*text);
   if (const auto* const faults = std::get_if<Faults>(&settings)) {
-    PrintFaults(aPath, *faults);
+    PrintFaults(aPath, *faults, aErrors);
     return std::nullopt;
   }
   return std::get<GatewaySettings>(std::move(settings));
 }
 
+/** Waits for a time or a stop signal, which the caller blocks; true for a
+ * signal. */
+bool IsStoppedWithin(Duration aTime)
+{
+  sigset_t stops;
+  sigemptyset(&stops);
+  sigaddset(&stops, SIGTERM);
+  sigaddset(&stops, SIGINT);
+  const timespec timeout{ 0, std::chrono::nanoseconds(aTime).count() };
+  return sigtimedwait(&stops, nullptr, &timeout) > 0;
+}
+
+/** The settings, or the exit code of a process that starts without any. */
+std::variant<GatewaySettings, int> AwaitSettings(const std::string& aPath)
+{
+  const Instant end = Now().steady + kSettingsWait;
+  for (;;) {
+    std::ostringstream errors;
+    if (auto settings = ReadSettings(aPath, errors)) {
+      return std::move(*settings);
+    }
+    if (Now().steady >= end) {
+      std::cerr << errors.str();
+      return kExitFailure;
+    }
+    if (IsStoppedWithin(kSettingsInterval)) {
+      std::cerr << "stopped before the settings could be used: "
+                << errors.str();
+      return kExitOk;
+    }
+  }
+}
+
 } // namespace
 
 int RunGatewayCommand(Arguments aArguments)
@@ -60,15 +105,17 @@
               << ", got neither\n";
     return kExitUsage;
   }
-  const auto settings = ReadSettings(path);
-  if (!settings) {
-    return kExitFailure;
+  const auto result = AwaitSettings(path);
+  if (const int* const exitCode = std::get_if<int>(&result)) {
+    return *exitCode;
   }
-  EventLog log(settings->name,
-               settings->logLevel,
-               settings->logLinesPerSecond,
+  const auto& settings = std::get<GatewaySettings>(result);
+  EventLog log(settings.name,
+               settings.logLevel,
+               settings.logLinesPerSecond,
                STDOUT_FILENO);
-  GatewayProcess process(*settings, log, [path] { return ReadSettings(path); });
+  GatewayProcess process(
+    settings, log, [path] { return ReadSettings(path, std::cerr); });
   return process.Run(mask);
 }
 
