Bound what is kept of prompts by parts, and drop each in a constant step

Cause: PrefixCacheIndex bounded the parts of a replica by their tokens only, parts of none not at all, and searched all of them for each that it dropped; peers did the same with each report. Hashes of prefixes and the traits of a request cost the square of the parts.

Change: a list in order of use with a table beside it; a part counts as 64 tokens at least; prefixes are told apart in steps of 64 tokens; hashes are chained; traits are looked up in a set. The last parts of a prompt are dropped first.

Why it works: what is kept is bounded by half of the cache in steps of 64 tokens, and each step of adding, finding and dropping is constant, at the gateway that gets a prompt and at those that hear of it.

The first two new cases of [PrefixCacheIndex] and [PromptSpec] name what the former code did not have, so that they could not be built against it.

--- a/core/gateway/prefix_cache_index.cpp
+++ b/core/gateway/prefix_cache_index.cpp
@@ -1,6 +1,8 @@
 #include "core/gateway/prefix_cache_index.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 
 namespace gypsum {
 
@@ -22,16 +24,16 @@
   if (aRead.prefixes.empty()) {
     return;
   }
-  Add(aRead, aNow);
+  Add(aRead);
   recent_.push_back({ aRead, aNow });
 }
 
-void PrefixCacheIndex::OnPeerRead(const PrefixRead& aRead, Instant aNow)
+void PrefixCacheIndex::OnPeerRead(const PrefixRead& aRead)
 {
-  Add(aRead, aNow);
+  Add(aRead);
 }
 
-void PrefixCacheIndex::Add(const PrefixRead& aRead, Instant aNow)
+void PrefixCacheIndex::Add(const PrefixRead& aRead)
 {
   auto found = replicas_.find(aRead.backend);
   if (found == replicas_.end()) {
@@ -39,19 +41,34 @@
   }
   Replica& replica = found->second;
   replica.kvCapacityTokens = kvCapacityTokens_;
-  std::uint64_t precedingTokens = 0;
-  for (const PromptPrefix& prefix : aRead.prefixes) {
-    CachedPart& part = replica.prefixes[prefix.hash];
+  // From the last part on, so that it is evicted first: without a part, those
+  // after it are of no use.
+  for (std::size_t index = aRead.prefixes.size(); index > 0; --index) {
+    const PromptPrefix& prefix = aRead.prefixes[index - 1];
+    const std::uint64_t precedingTokens =
+      index > 1 ? aRead.prefixes[index - 2].tokens : 0;
     const std::uint64_t partTokens =
       prefix.tokens - std::min(prefix.tokens, precedingTokens);
-    replica.tokens += partTokens - std::min(partTokens, part.tokens);
-    part.tokens = std::max(part.tokens, partTokens);
-    part.lastUsedAt = aNow;
-    precedingTokens = prefix.tokens;
+    Use(replica, { prefix.hash, std::max(partTokens, kMinPartTokens) });
   }
   EvictLeastRecentlyUsed(replica);
 }
 
+void PrefixCacheIndex::Use(Replica& aReplica, CachedPart aPart)
+{
+  const auto found = aReplica.prefixes.find(aPart.hash);
+  if (found == aReplica.prefixes.end()) {
+    aReplica.tokens += aPart.tokens;
+    aReplica.byUse.push_back(aPart);
+    aReplica.prefixes.emplace(aPart.hash, std::prev(aReplica.byUse.end()));
+    return;
+  }
+  CachedPart& known = *found->second;
+  aReplica.tokens += aPart.tokens - std::min(aPart.tokens, known.tokens);
+  known.tokens = std::max(known.tokens, aPart.tokens);
+  aReplica.byUse.splice(aReplica.byUse.end(), aReplica.byUse, found->second);
+}
+
 void PrefixCacheIndex::EvictLeastRecentlyUsed(Replica& aReplica)
 {
   const std::uint64_t kvCapacityTokens = aReplica.kvCapacityTokens > 0
@@ -59,16 +76,24 @@
                                            : kDefaultKvCapacityTokens;
   const auto bound = static_cast<std::uint64_t>(
     kSharedFraction * static_cast<double>(kvCapacityTokens));
-  while (aReplica.tokens > bound && aReplica.prefixes.size() > 1) {
-    const auto oldest =
-      std::ranges::min_element(aReplica.prefixes, {}, [](const auto& aItem) {
-        return aItem.second.lastUsedAt;
-      });
-    aReplica.tokens -= std::min(aReplica.tokens, oldest->second.tokens);
-    aReplica.prefixes.erase(oldest);
+  while (aReplica.tokens > bound && aReplica.byUse.size() > 1) {
+    const CachedPart oldest = aReplica.byUse.front();
+    aReplica.tokens -= std::min(aReplica.tokens, oldest.tokens);
+    aReplica.prefixes.erase(oldest.hash);
+    aReplica.byUse.pop_front();
   }
 }
 
+std::size_t PrefixCacheIndex::KnownParts() const
+{
+  return std::accumulate(replicas_.begin(),
+                         replicas_.end(),
+                         std::size_t{ 0 },
+                         [](std::size_t aSum, const auto& aItem) {
+                           return aSum + aItem.second.byUse.size();
+                         });
+}
+
 std::uint64_t PrefixCacheIndex::CachedTokens(
   std::string_view aBackend,
   std::span<const PromptPrefix> aPrefixes) const
--- a/core/gateway/prefix_cache_index.h
+++ b/core/gateway/prefix_cache_index.h
@@ -2,12 +2,15 @@
 
 #include "core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <list>
 #include <map>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace gypsum {
@@ -37,12 +40,14 @@
 public:
   /** How long a read is reported to peers; covers a few status messages. */
   static constexpr Duration kAnnouncePeriod = std::chrono::milliseconds(1'500);
+  /** A part of fewer tokens counts as this many, which bounds their number. */
+  static constexpr std::uint64_t kMinPartTokens = 64;
 
   /** `aKvCapacityTokens` is the KV cache capacity of one replica. */
   void OnSent(const PrefixRead& aRead,
               std::uint64_t aKvCapacityTokens,
               Instant aNow);
-  void OnPeerRead(const PrefixRead& aRead, Instant aNow);
+  void OnPeerRead(const PrefixRead& aRead);
   /** Tokens of the prompt that the replica holds and need not process again. */
   std::uint64_t CachedTokens(std::string_view aBackend,
                              std::span<const PromptPrefix> aPrefixes) const;
@@ -50,16 +55,20 @@
   void RemoveReplica(std::string_view aBackend);
   /** Reads of this gateway within `kAnnouncePeriod`, to report to its peers. */
   std::vector<PrefixRead> RecentReads(Instant aNow);
+  /** Parts that are kept, of all replicas. */
+  std::size_t KnownParts() const;
 
 private:
   struct CachedPart
   {
-    std::uint64_t tokens = 0; ///< Tokens of this part alone.
-    Instant lastUsedAt{};
+    std::uint64_t hash = 0;
+    std::uint64_t tokens = 0; ///< Of this part alone, at least the minimum.
   };
+  using Parts = std::list<CachedPart>;
   struct Replica
   {
-    std::map<std::uint64_t, CachedPart> prefixes;
+    Parts byUse; ///< Least recently used first.
+    std::unordered_map<std::uint64_t, Parts::iterator> prefixes;
     std::uint64_t tokens = 0;
     std::uint64_t kvCapacityTokens = 0; ///< Zero: unknown.
   };
@@ -69,7 +78,9 @@
     Instant at{};
   };
 
-  void Add(const PrefixRead& aRead, Instant aNow);
+  void Add(const PrefixRead& aRead);
+  /** Makes a part the most recently used one. */
+  static void Use(Replica& aReplica, CachedPart aPart);
   static void EvictLeastRecentlyUsed(Replica& aReplica);
 
   std::map<std::string, Replica, std::less<>> replicas_;
--- a/core/gateway/replica_choice.cpp
+++ b/core/gateway/replica_choice.cpp
@@ -101,12 +101,19 @@
 std::vector<PromptPrefix> PromptSpec::SharedPrefixes() const
 {
   std::vector<PromptPrefix> prefixes;
-  std::string chain;
+  std::string link;
+  PromptPrefix prefix;
   std::uint64_t sum = 0;
-  for (const PromptPart& part : SharedParts()) {
-    chain.append(part.id).push_back(',');
+  const auto shared = SharedParts();
+  for (const PromptPart& part : shared) {
+    // Each hash is made of the one before, not of all parts up to here.
+    link = std::to_string(prefix.hash).append(",").append(part.id);
+    const std::uint64_t steps = sum / kPrefixTokens;
     sum += part.tokens;
-    prefixes.push_back({ Checksum(chain), std::min(sum, tokens) });
+    prefix = { Checksum(link), std::min(sum, tokens) };
+    if (sum / kPrefixTokens > steps || &part == &shared.back()) {
+      prefixes.push_back(prefix);
+    }
   }
   return prefixes;
 }
--- a/core/gateway/replica_choice.h
+++ b/core/gateway/replica_choice.h
@@ -24,6 +24,10 @@
 /** The prompt of a request to a model replica. */
 struct PromptSpec
 {
+  /** Prefixes are told apart in steps of so many tokens, so that a prompt of
+   * very many short parts has few of them. */
+  static constexpr std::uint64_t kPrefixTokens = 64;
+
   std::vector<PromptPart> parts;
   std::uint64_t tokens = 0; ///< Tokens of the whole prompt.
 
@@ -32,7 +36,8 @@
   {
     return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1);
   }
-  /** The prefixes that other requests may share, shortest first. */
+  /** The prefixes that other requests may share, shortest first: the longest,
+   * and those in which a multiple of `kPrefixTokens` is reached. */
   std::vector<PromptPrefix> SharedPrefixes() const;
 };
 
--- a/servers/gateway/peer_exchange.cpp
+++ b/servers/gateway/peer_exchange.cpp
@@ -413,7 +413,7 @@
   sightings_.OnReport(aStatus.sightings, now);
   state_.loads.OnPeerReport(aStatus.address, aStatus.loads, now);
   for (const PrefixRead& read : aStatus.reads) {
-    state_.prefixes.OnPeerRead(read, now);
+    state_.prefixes.OnPeerRead(read);
   }
   for (const LeavingBackend& leaving : aStatus.leaving) {
     platformState_.OnLeaving(leaving, aHeader.sender.name);
--- a/servers/gateway/request_handler.cpp
+++ b/servers/gateway/request_handler.cpp
@@ -17,6 +17,8 @@
 #include <initializer_list>
 #include <iterator>
 #include <memory>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace gypsum {
@@ -68,10 +70,11 @@
                                               const PromptSpec& aPrompt)
 {
   RequestTraits traits;
+  std::unordered_set<std::string_view> ids;
   for (const PromptPart& part : aPrompt.SharedParts()) {
-    const std::string name = NameOfPart(part.id);
-    if (std::ranges::find(traits, name, &RequestTrait::name) == traits.end()) {
-      traits.push_back({ name, static_cast<std::uint32_t>(traits.size()) });
+    if (ids.insert(part.id).second) {
+      traits.push_back(
+        { NameOfPart(part.id), static_cast<std::uint32_t>(traits.size()) });
     }
   }
   traits.push_back({ aRequestName, kWholeRequest });
--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -202,7 +202,8 @@
                                   { "handle-s", 4.0 } };
   json::object model = Service("model");
   model["engine"] =
-    json::object{ { "slots", 64 }, { "kv-capacity-tokens", 600'000 } };
+    json::object{ { "slots", 64 },
+                  { "kv-capacity-tokens", configuration.kvCapacityTokens } };
   model["cold-start-s"] = 3.0;
   model["cold-per-s"] = configuration.coldPerSecond;
   json::array keys;
--- a/tests/cell/cell.h
+++ b/tests/cell/cell.h
@@ -115,6 +115,7 @@
     std::vector<std::string> extraRoutes; ///< Prefixes of plain routes.
     int timeoutMs = 1'500;
     double coldPerSecond = 0.0; ///< Of each cold model replica; zero: no rate.
+    int kvCapacityTokens = 600'000; ///< Of each model replica.
     int targetMs = 400; ///< Streams are left after four times that, or 2 s.
   };
   Configuration configuration;
--- a/tests/gateway/test_replica_choice.cpp
+++ b/tests/gateway/test_replica_choice.cpp
@@ -320,6 +320,50 @@
   CHECK(cache.CachedTokens("r", prefixOf(5)) == 100);
 }
 
+TEST_CASE("[PromptSpec] many short parts are as many prefixes as their tokens "
+          "are worth")
+{
+  PromptSpec prompt;
+  for (int part = 0; part < 2'600; ++part) {
+    prompt.parts.push_back({ std::to_string(part), part % 2 == 0 ? 1U : 0U });
+  }
+  prompt.tokens = 1'300;
+  const auto prefixes = prompt.SharedPrefixes();
+  CHECK(prefixes.size() <= 1'300 / PromptSpec::kPrefixTokens + 1);
+  CHECK(prefixes.back().tokens == 1'300);
+  // A longer prompt that begins with the same parts has the same prefixes.
+  PromptSpec longer = prompt;
+  longer.parts.push_back({ "own", 500 });
+  longer.parts.push_back({ "last", 1 });
+  longer.tokens = 1'801;
+  PrefixCacheIndex cache;
+  cache.OnSent({ "r", prefixes }, 600'000, Instant{ seconds(1) });
+  CHECK(cache.CachedTokens("r", longer.SharedPrefixes()) >
+        1'300 - PromptSpec::kPrefixTokens);
+}
+
+TEST_CASE("[PrefixCacheIndex] parts of few or no tokens are bounded in number")
+{
+  PrefixCacheIndex cache;
+  constexpr std::uint64_t kCapacity = 64'000;
+  for (std::uint64_t hash = 1; hash <= 10'000; ++hash) {
+    cache.OnSent(
+      { "r", { { hash, hash % 2 } } }, kCapacity, Instant{ seconds(hash) });
+  }
+  CHECK(cache.KnownParts() <= kCapacity / 2 / PrefixCacheIndex::kMinPartTokens);
+  CHECK(cache.CachedTokens("r", std::array{ PromptPrefix{ 9'999, 1 } }) == 1);
+}
+
+TEST_CASE("[PrefixCacheIndex] of one prompt the last parts are evicted first")
+{
+  PrefixCacheIndex cache;
+  const std::vector<PromptPrefix> prompt{ { 1, 100 }, { 2, 200 }, { 3, 300 } };
+  cache.OnSent({ "r", prompt }, 800, Instant{ seconds(1) });
+  CHECK(cache.CachedTokens("r", prompt) == 300);
+  cache.OnSent({ "r", { { 4, 200 } } }, 800, Instant{ seconds(2) });
+  CHECK(cache.CachedTokens("r", prompt) == 200);
+}
+
 TEST_CASE_FIXTURE(ChoiceFixture,
                   "[ReplicaChoice] with a required software version, no server "
                   "of another one is chosen, however cheap")
