Write no body after a response to HEAD, and after statuses without one

Cause: ClientConnection wrote the body of each response, whatever the method and the status were; for streams the chunks, for 204 a length.

Change: HasResponseBody decides once, for responses and streams. Responses with a body are written in one call as before.

Why it works: the client takes the response as ended after its header in exactly these cases.

--- a/drivers/edge/client_connection.cpp
+++ b/drivers/edge/client_connection.cpp
@@ -31,6 +31,8 @@
 /** Pipelined bytes buffered while a request is handled. */
 constexpr std::size_t kMaxPipelinedBytes = 65'536;
 constexpr std::size_t kReadBytes = 4'096;
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
 
 RequestReadResult ToReadResult(const boost::system::error_code& aError)
 {
@@ -79,7 +81,9 @@
   const ClientLimits& aLimits)
 {
   isIdle_ = true;
+  request_ = {};
   isChunked_ = false;
+  hasStreamBody_ = true;
   hasBegunResponse_ = false;
   if (hasDisconnected_) {
     co_return RequestReadResult::Closed;
@@ -163,23 +167,39 @@
   response.base() = http::response_header<>(std::move(aResponse.fields));
   response.result(aResponse.status);
   response.body() = std::move(aResponse.body);
-  response.content_length(response.body().size());
+  const bool hasBody = HasResponseBody(aResponse.status);
+  if (hasBody) {
+    response.content_length(response.body().size());
+  }
   SetFraming(response.base());
   hasBegunResponse_ = true;
   stream_.expires_after(kWriteTimeout);
   boost::system::error_code error;
-  co_await http::async_write(
-    stream_, response, asio::redirect_error(asio::use_awaitable, error));
+  if (hasBody) {
+    co_await http::async_write(
+      stream_, response, asio::redirect_error(asio::use_awaitable, error));
+  } else {
+    http::response_serializer<http::string_body> serializer(response);
+    co_await http::async_write_header(
+      stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+  }
   hasDisconnected_ = hasDisconnected_ || error;
   co_return !error;
 }
 
+bool ClientConnection::HasResponseBody(unsigned aStatus) const
+{
+  return request_.method() != http::verb::head && aStatus != kNoContent &&
+         aStatus != kNotModified;
+}
+
 asio::awaitable<bool> ClientConnection::BeginStream(EdgeResponse aHead)
 {
   // HTTP/1.0 has no chunked coding: the end of the connection ends the
   // response.
-  isChunked_ = request_.version() >= 11;
-  if (!isChunked_) {
+  hasStreamBody_ = HasResponseBody(aHead.status);
+  isChunked_ = hasStreamBody_ && request_.version() >= 11;
+  if (hasStreamBody_ && !isChunked_) {
     keepsAlive_ = false;
     // The system closes the connections of a process that is killed, which
     // would end the response as complete.
@@ -205,7 +225,7 @@
 
 asio::awaitable<bool> ClientConnection::WritePart(std::string_view aBytes)
 {
-  if (aBytes.empty()) {
+  if (aBytes.empty() || !hasStreamBody_) {
     co_return !hasDisconnected_;
   }
   stream_.expires_after(kWriteTimeout);
@@ -233,7 +253,7 @@
       stream_,
       http::make_chunk_last(),
       asio::redirect_error(asio::use_awaitable, error));
-  } else {
+  } else if (hasStreamBody_) {
     SetResetOnClose(false);
   }
   hasDisconnected_ = hasDisconnected_ || error;
--- a/drivers/edge/client_connection.h
+++ b/drivers/edge/client_connection.h
@@ -100,6 +100,9 @@
    * it. */
   void SetResetOnClose(bool aIsReset);
   void SetFraming(boost::beast::http::fields& aFields) const;
+  /** Whether a response to the request has a body: the client expects the next
+   * response right after the header of one that has none. */
+  bool HasResponseBody(unsigned aStatus) const;
 
   boost::beast::tcp_stream stream_;
   boost::asio::ip::tcp::endpoint remoteEndpoint_;
@@ -112,6 +115,7 @@
   bool isIdle_ = true;
   bool isReading_ = false; ///< A request has begun to arrive.
   bool isReadingEnded_ = false;
+  bool hasStreamBody_ = true; ///< Of the response that `BeginStream` began.
   bool isChunked_ = false;
   bool hasBegunResponse_ = false;
 };
--- a/tests/gateway/test_edge.cpp
+++ b/tests/gateway/test_edge.cpp
@@ -62,9 +62,16 @@
       }
       ++requests;
       EdgeResponse response;
-      const auto target = aClient->GetRequest().target();
-      response.body = std::string(target) + "|" + aClient->GetRequest().body();
-      co_await aClient->WriteResponse(std::move(response));
+      const std::string target(aClient->GetRequest().target());
+      if (target.starts_with("/stream")) {
+        co_await aClient->BeginStream(std::move(response));
+        co_await aClient->WritePart(target);
+        co_await aClient->EndStream();
+      } else {
+        response.status = target.starts_with("/empty") ? 204 : 200;
+        response.body = target + "|" + aClient->GetRequest().body();
+        co_await aClient->WriteResponse(std::move(response));
+      }
       if (!aClient->KeepsAlive()) {
         co_return;
       }
@@ -225,6 +232,26 @@
   CHECK(all.find("/4|") != std::string::npos);
 }
 
+// Guards against bytes of a body where the client expects the next response.
+TEST_CASE_FIXTURE(EdgeFixture,
+                  "[Edge] a response that has no body by its request or status "
+                  "is followed by the next one")
+{
+  for (const std::string first :
+       { "HEAD /1", "HEAD /stream", "HEAD /empty", "GET /empty" }) {
+    CAPTURE(first);
+    RawSocket socket(Address(1));
+    socket.Send(first + " HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /next HTTP/1.1\r\nHost: h\r\n"
+                        "Connection: close\r\n\r\n");
+    const std::string all = socket.ReadToEnd();
+    const auto end = all.find("\r\n\r\n");
+    REQUIRE(end != std::string::npos);
+    CHECK(all.substr(end + 4).starts_with("HTTP/1.1 200 "));
+    CHECK(all.ends_with("/next|"));
+  }
+}
+
 TEST_CASE_FIXTURE(
   EdgeFixture,
   "[Edge] a request with an ambiguous body length is rejected as malformed")
