--- a/core/gateway/served_configuration.h
+++ b/core/gateway/served_configuration.h
@@ -129,7 +129,8 @@
   std::vector<RouteSpec> routes;
   std::map<std::string, BackendServiceSpec, std::less<>> services;
   std::map<std::string, CustomerSpec, std::less<>> customersByKey;
-  /** If true, requests on routes that are not public need an API key. */
+  /** If true, requests on routes that are not public need an API key, also if
+   * no key is known. */
   bool hasCustomers = false;
   ClientLimits limits;
 };
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -93,6 +93,22 @@
   CHECK(configuration.services.at("m").engine->kvCapacityTokens == 631'045);
 }
 
+// Guards against a list that is empty or of another type and lets any key in.
+TEST_CASE(
+  "[Platform] only a configuration without a list of customers asks for "
+  "no key")
+{
+  const auto hasCustomers = [](const std::string& aRest) {
+    const auto decoded = DecodeConfiguration("{\"version\":7" + aRest + "}");
+    REQUIRE(std::holds_alternative<ServedConfiguration>(decoded));
+    return std::get<ServedConfiguration>(decoded).hasCustomers;
+  };
+  CHECK_FALSE(hasCustomers(""));
+  CHECK(hasCustomers(R"(,"tenants":[])"));
+  CHECK(hasCustomers(R"(,"tenants":[{"name":"t"}])"));
+  CHECK(hasCustomers(R"(,"tenants":[{"name":"t","api-keys":[]}])"));
+}
+
 TEST_CASE("[Platform] an invalid configuration is rejected with a reason")
 {
   for (const char* const text : { "",
