--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -109,6 +109,26 @@
   CHECK(hasCustomers(R"(,"tenants":[{"name":"t","api-keys":[]}])"));
 }
 
+TEST_CASE("[Platform] a configuration with a list of another type is rejected")
+{
+  const std::string route =
+    R"({"name":"b","host":"h","prefix":"/b/","kind":"idempotent","service":"m")";
+  for (const std::string& rest :
+       { std::string(R"("tenants":null)"),
+         std::string(R"("tenants":{"name":"t"})"),
+         std::string(R"("tenants":[{"name":"t","api-keys":"k"}])"),
+         std::string(R"("routes":{})"),
+         std::string(R"("services":7)"),
+         R"("routes":[)" + route + R"(,"stages":{}}])",
+         R"("routes":[)" + route + R"(,"traffic-split":"m"}])" }) {
+    CAPTURE(rest);
+    CHECK(std::holds_alternative<DecodeFault>(
+      DecodeConfiguration("{\"version\":7," + rest + "}")));
+  }
+  CHECK(std::holds_alternative<ServedConfiguration>(
+    DecodeConfiguration("{\"version\":7,\"routes\":[" + route + "}]}")));
+}
+
 TEST_CASE("[Platform] an invalid configuration is rejected with a reason")
 {
   for (const char* const text : { "",
