Store long attempt ids of stream origins by their hash

What could be seen: a client whose attempt ids have 16 KB fills the table of stream origins with up to 640 MB, here and at the peers that get copies.

Cause: the table is bounded by entries only.

Change: ids of more than 64 bytes are stored, told and looked up by a 128-bit hash.

Why it works: an entry has a bounded size, and equal ids have equal hashes at each gateway.

Measured: "[StreamOrigins] a long attempt takes no more room" failed with the hash left out; [StreamOrigins] and resumes 8 of 8.

--- a/core/gateway/stream_origins.cpp
+++ b/core/gateway/stream_origins.cpp
@@ -1,12 +1,27 @@
 #include "core/gateway/stream_origins.h"
 
+#include "core/hash.h"
+
+#include <array>
 #include <utility>
 
 namespace gypsum {
 
+namespace {
+
+/** The attempt itself, or a hash of a long one; peers use the same. */
+std::string NameOfAttempt(std::string_view aAttempt)
+{
+  return aAttempt.size() <= StreamOrigins::kMaxNameBytes
+           ? std::string(aAttempt)
+           : "#" + LongChecksum(std::array{ aAttempt });
+}
+
+} // namespace
+
 bool StreamOrigins::Add(ExpiringOrigin aOrigin, Instant aNow)
 {
-  std::string attempt = aOrigin.origin.attempt;
+  std::string attempt = NameOfAttempt(aOrigin.origin.attempt);
   if (attempt.empty() || aOrigin.expiresIn.count() <= 0 ||
       origins_.contains(attempt)) {
     return true;
@@ -17,6 +32,7 @@
   if (origins_.size() >= kMaxOrigins) {
     return false;
   }
+  aOrigin.origin.attempt = attempt;
   origins_.emplace(
     std::move(attempt),
     Entry{ std::move(aOrigin.origin), aNow + aOrigin.expiresIn });
@@ -26,7 +42,7 @@
 std::optional<ExpiringOrigin> StreamOrigins::Find(std::string_view aAttempt,
                                                   Instant aNow) const
 {
-  const auto found = origins_.find(aAttempt);
+  const auto found = origins_.find(NameOfAttempt(aAttempt));
   if (found == origins_.end() || found->second.expiresAt <= aNow) {
     return std::nullopt;
   }
--- a/core/gateway/stream_origins.h
+++ b/core/gateway/stream_origins.h
@@ -37,6 +37,8 @@
   /** Bounds the memory to a few MB; a fleet begins some hundred streams a
    * second. */
   static constexpr std::size_t kMaxOrigins = 20'000;
+  /** Clients may choose longer ids; such an attempt is stored by a hash. */
+  static constexpr std::size_t kMaxNameBytes = 64;
 
   /** Stores an origin; a known attempt keeps its first one. Returns false if
    * there is no room. */
--- a/tests/gateway/test_stream_resume.cpp
+++ b/tests/gateway/test_stream_resume.cpp
@@ -58,6 +58,29 @@
   CHECK(origins.Size() == 0);
 }
 
+// Guards against a table that a client fills with attempt ids of 16 KB.
+TEST_CASE_FIXTURE(ResumeFixture,
+                  "[StreamOrigins] a long attempt takes no more room than a "
+                  "short one, and is told from others")
+{
+  const std::string attempt(16'000, 'a');
+  CHECK(origins.Add(Origin(attempt, "v1"), now));
+  CHECK(origins.Add(Origin(attempt + "b", "v2"), now));
+  CHECK(origins.Size() == 2);
+  const auto all = origins.All(now);
+  CHECK(std::ranges::all_of(all, [](const ExpiringOrigin& aItem) {
+    return aItem.origin.attempt.size() <= StreamOrigins::kMaxNameBytes;
+  }));
+  CHECK(origins.Find(attempt, now)->origin.version == "v1");
+  CHECK(origins.Find(attempt + "b", now)->origin.version == "v2");
+  // A peer stores what it is told, and finds it by the client's word.
+  StreamOrigins peer;
+  for (const ExpiringOrigin& origin : all) {
+    peer.Add(origin, now);
+  }
+  CHECK(peer.Find(attempt, now)->origin.version == "v1");
+}
+
 TEST_CASE_FIXTURE(ResumeFixture,
                   "[StreamOrigins] a full table refuses new origins until "
                   "others expire")
