--- a/tests/support/raw_socket.cpp
+++ b/tests/support/raw_socket.cpp
@@ -168,7 +168,7 @@
 
 std::string RawSocket::ReadMessage() const
 {
-  const std::string text = ReadUntil(kEndOfHeader);
+  std::string text = ReadUntil(kEndOfHeader);
   const std::size_t mark = text.find(kContentLength);
   if (mark == std::string::npos) {
     return text;
