Skip late copies of responses to calls for pieces

Cause: these responses name no request, and CallReplica took the first that came.

Change: a body with a handle is unique; its connection remembers it, and a later response with the same body is skipped. A connection is not used again after a response without any handle. Calls and releases read their responses in one place, so that a release that is cut off no longer counts as done.

Why it works: a copy has the bytes of its response, and no other response can have them, as handles are unique.

--- a/drivers/edge/backend_exchange.cpp
+++ b/drivers/edge/backend_exchange.cpp
@@ -1,5 +1,6 @@
 #include "drivers/edge/backend_exchange.h"
 
+#include "core/hash.h"
 #include "drivers/clock.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -32,6 +33,9 @@
 constexpr std::size_t kPartBytes = 16'384;
 /** Shorter bodies don't count against the budget of all bodies. */
 constexpr std::size_t kFreeBodyBytes = 65'536;
+/** Bodies of a connection that are compared with later ones: a copy comes soon
+ * after its response. */
+constexpr std::size_t kKnownBodies = 16;
 constexpr unsigned kFirstStatus = 100;
 /** Offers another protocol, for which no request asks. */
 constexpr unsigned kSwitchingProtocols = 101;
@@ -286,6 +290,21 @@
   co_return rest;
 }
 
+void BackendExchange::OnUniqueBody(std::string_view aBody)
+{
+  auto& bodies = connection_->uniqueBodies;
+  bodies.push_front(Checksum(aBody));
+  if (bodies.size() > kKnownBodies) {
+    bodies.pop_back();
+  }
+}
+
+bool BackendExchange::IsCopy(std::string_view aBody) const
+{
+  const auto& bodies = connection_->uniqueBodies;
+  return std::ranges::find(bodies, Checksum(aBody)) != bodies.end();
+}
+
 void BackendExchange::Cancel()
 {
   isCancelled_ = true;
--- a/drivers/edge/backend_exchange.h
+++ b/drivers/edge/backend_exchange.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace gypsum {
 
@@ -90,6 +91,11 @@
   bool HasRefusedBefore() const { return connection_->hasRefused; }
   /** The response is a refusal; marks the connection. */
   void OnRefused() { connection_->hasRefused = true; }
+  /** Stores a body that no other response can have, so that a copy of it is
+   * known on its connection; for responses that don't name their request. */
+  void OnUniqueBody(std::string_view aBody);
+  /** Whether an earlier response on its connection had this unique body. */
+  bool IsCopy(std::string_view aBody) const;
   /** Whether this is the first request on its connection. */
   bool IsFresh() const { return connection_ && connection_->uses == 0; }
 
--- a/drivers/edge/backend_pool.h
+++ b/drivers/edge/backend_pool.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +36,9 @@
   bool isIdle = false;
   bool isWatched = false;  ///< A wait for input is pending.
   bool hasRefused = false; ///< It has carried a refusal.
+  /** Hashes of the last bodies that no other response can have, newest first.
+   */
+  std::deque<std::uint64_t> uniqueBodies;
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -40,6 +40,8 @@
 /** A queue without jobs for so long begins anew. */
 constexpr Duration kQueueRest = std::chrono::seconds(1);
 constexpr std::size_t kMaxResponseBytes = 1'048'576;
+/** Copies of earlier responses that are skipped before the one to a call. */
+constexpr int kMaxSkippedResponses = 2;
 constexpr unsigned kOk = 200;
 
 std::string_view NameOf(BatchEnd aEnd)
@@ -520,33 +522,65 @@
     co_return BatchEnd::HeldBack;
   }
   crashes_.Detector().OnConnected(aSend, exchange.OpenedAt());
-  if (co_await exchange.ReadHead(aBatch.abandonAt) != ExchangeState::Ok) {
+  const auto response = co_await ReadCallResponse(
+    exchange, aBatch.backend, SendPath::Pieces, aBatch.abandonAt);
+  if (!response) {
     co_return BatchEnd::Lost;
   }
-  const BackendResponseHead head =
-    DecodeBackendResponseHead(exchange.GetHead());
-  observer_.OnResponse(
-    *aBatch.backend, head, ResponseAge::Current, SendPath::Pieces);
-  const BodyPart body =
-    co_await exchange.ReadRest(aBatch.abandonAt, kMaxResponseBytes);
-  if (body.state != ExchangeState::Ok) {
-    co_return BatchEnd::Lost;
-  }
-  // A refusal that is written again could not be told from a later response.
-  exchange.Finish(head.IdleTime(), !head.closes && !head.isNotExecuted);
+  const BackendResponseHead& head = response->head;
   if (head.isNotExecuted) {
     co_return BatchEnd::Rejected;
   }
   auto results = head.status == kOk
-                   ? DecodePieceResults(body.bytes, aBatch.items.size())
+                   ? DecodePieceResults(response->body, aBatch.items.size())
                    : std::nullopt;
   if (!results) {
     co_return BatchEnd::Lost;
   }
+  // A response without a result of its own could not be told from the copy of
+  // an earlier one.
+  const bool hasResult =
+    std::ranges::any_of(*results, [](const BatchItemResult& aResult) {
+      return !aResult.handle.empty();
+    });
+  if (hasResult) {
+    exchange.OnUniqueBody(response->body);
+  }
+  exchange.Finish(head.IdleTime(), !head.closes && hasResult);
   aResults = std::move(*results);
   co_return BatchEnd::Answered;
 }
 
+asio::awaitable<std::optional<PieceService::CallResponse>>
+PieceService::ReadCallResponse(BackendExchange& aExchange,
+                               BackendPtr aBackend,
+                               SendPath aPath,
+                               Instant aDeadline)
+{
+  for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+    if (co_await aExchange.ReadHead(aDeadline) != ExchangeState::Ok) {
+      co_return std::nullopt;
+    }
+    CallResponse response{ DecodeBackendResponseHead(aExchange.GetHead()), "" };
+    BodyPart body = co_await aExchange.ReadRest(aDeadline, kMaxResponseBytes);
+    const bool isCopy =
+      body.state == ExchangeState::Ok && aExchange.IsCopy(body.bytes);
+    observer_.OnResponse(*aBackend,
+                         response.head,
+                         isCopy ? ResponseAge::Late : ResponseAge::Current,
+                         aPath);
+    if (body.state != ExchangeState::Ok) {
+      co_return std::nullopt;
+    }
+    if (!isCopy) {
+      response.body = std::move(body.bytes);
+      co_return response;
+    }
+    state_.metrics.Count("repeated_responses", "backend", aBackend->service);
+  }
+  co_return std::nullopt;
+}
+
 std::uint32_t PieceService::UrgencyOf(const std::string& aService,
                                       const Batch& aBatch)
 {
@@ -864,15 +898,13 @@
     }
     co_return;
   }
-  if (co_await exchange.ReadHead(deadline) != ExchangeState::Ok) {
+  const auto response =
+    co_await ReadCallResponse(exchange, aBackend, SendPath::Release, deadline);
+  if (!response) {
     state_.metrics.Count("results_not_freed", "", "");
     co_return;
   }
-  const BackendResponseHead head =
-    DecodeBackendResponseHead(exchange.GetHead());
-  observer_.OnResponse(
-    *aBackend, head, ResponseAge::Current, SendPath::Release);
-  const BodyPart body = co_await exchange.ReadRest(deadline, kMaxResponseBytes);
+  const BackendResponseHead& head = response->head;
   // Without a time to wait for, further calls would be turned away as well.
   const bool isPutOff =
     head.isNotExecuted &&
@@ -883,9 +915,7 @@
   } else {
     OnResultsReleased(aHandles);
   }
-  if (body.state == ExchangeState::Ok) {
-    exchange.Finish(head.IdleTime(), !head.closes && !head.isNotExecuted);
-  }
+  exchange.Finish(head.IdleTime(), !head.closes && !head.isNotExecuted);
 }
 
 } // namespace gypsum
--- a/servers/gateway/piece_service.h
+++ b/servers/gateway/piece_service.h
@@ -4,6 +4,8 @@
 #include "core/gateway/gateway_messages.h"
 #include "core/gateway/response_time.h"
 #include "core/gateway/stage_plan.h"
+#include "drivers/edge/backend_exchange.h"
+#include "platform/backend_response_head.h"
 #include "servers/gateway/cancellation_token.h"
 #include "servers/gateway/coalesced_task.h"
 #include "servers/gateway/crash_service.h"
@@ -159,6 +161,19 @@
   /** Tells the crash detector how a call has ended. */
   void ReportEnd(CrashService::SendNumber aSend, BatchEnd aEnd, bool aIsLate);
   /** Makes one call; sets `aResults` only if it returns `Answered`. */
+  /** A response that is complete and no copy of an earlier one. */
+  struct CallResponse
+  {
+    BackendResponseHead head;
+    std::string body;
+  };
+  /** Reads the response to a call, and skips late copies of earlier ones; empty
+   * if none arrived whole. */
+  boost::asio::awaitable<std::optional<CallResponse>> ReadCallResponse(
+    BackendExchange& aExchange,
+    BackendPtr aBackend,
+    SendPath aPath,
+    Instant aDeadline);
   boost::asio::awaitable<BatchEnd> CallReplica(
     const std::string& aService,
     const Batch& aBatch,
--- a/tests/cell/cell_replica.cpp
+++ b/tests/cell/cell_replica.cpp
@@ -316,6 +316,7 @@
                                           processes_.All())
                           .value_or(0);
   std::optional<EdgeResponse> lastRefusal;
+  std::optional<EdgeResponse> lastPieces;
   while (co_await aClient->ReadRequest(limits) == RequestReadResult::Complete) {
     const CellArrival arrival{ Header(*aClient, "Attempt-Id"),
                                Now().steady,
@@ -389,7 +390,7 @@
         canReuseConnection = co_await ServeModel(*aClient);
         break;
       case Kind::Stage:
-        canReuseConnection = co_await ServePieces(*aClient);
+        canReuseConnection = co_await ServePieces(*aClient, lastPieces);
         break;
     }
     if (!canReuseConnection || faults_.closesAfterResponse) {
@@ -514,7 +515,9 @@
            });
 }
 
-asio::awaitable<bool> CellReplica::ServePieces(ClientConnection& aClient)
+asio::awaitable<bool> CellReplica::ServePieces(
+  ClientConnection& aClient,
+  std::optional<EdgeResponse>& aLast)
 {
   const std::uint64_t incarnation = incarnation_;
   const json::value body = json::parse(aClient.GetRequest().body());
@@ -556,6 +559,10 @@
   json::object results;
   results["items"] = std::move(items);
   response.body = json::serialize(results);
+  if (faults_.repeatsPieces && aLast) {
+    co_await aClient.WriteResponse(*aLast);
+  }
+  aLast = response;
   if (faults_.framing || faults_.cut) {
     co_return co_await WriteFramed(aClient, response);
   }
--- a/tests/cell/cell_replica.h
+++ b/tests/cell/cell_replica.h
@@ -117,6 +117,9 @@
   double sendExtraResponse = 0.0; ///< Sends each response twice.
   /** Writes the last refusal of a connection again before each response. */
   bool repeatsRefusals = false;
+  /** Writes the last response to a call for pieces on a connection again before
+   * each response there. */
+  bool repeatsPieces = false;
   bool namesRefused = false;   ///< Refusals name the attempt that they answer.
   bool isEndless = false;      ///< Sends an event without end.
   bool isUnresponsive = false; ///< Blocks requests and streams until cleared.
@@ -202,7 +205,9 @@
   boost::asio::awaitable<void> Serve(ClientConnectionPtr aClient);
   boost::asio::awaitable<bool> ServePlain(ClientConnection& aClient);
   boost::asio::awaitable<bool> ServeModel(ClientConnection& aClient);
-  boost::asio::awaitable<bool> ServePieces(ClientConnection& aClient);
+  /** `aLast` is the last response to such a call on the connection. */
+  boost::asio::awaitable<bool> ServePieces(ClientConnection& aClient,
+                                           std::optional<EdgeResponse>& aLast);
   /** Waits for a time multiplied by the delay factor. */
   boost::asio::awaitable<void> Sleep(std::chrono::milliseconds aTime);
   EdgeResponse SealedResponse(const ClientConnection& aClient,
