Log a connection that was closed properly as closed

What operators saw: since the write of a request is looked at, connection=reset in send-failed and request-answered for each body that ended with a proper close.

Cause: an error code without an error is of the system's category, too.

Change: only a write that has failed turns a close into a reset.

Measured: "[Edge] a response without a length ends with its connection" failed with CHECK( 2 == 1 ) before; [Edge] 21 of 21.

--- a/drivers/edge/backend_exchange.cpp
+++ b/drivers/edge/backend_exchange.cpp
@@ -162,10 +162,12 @@
 
 ConnectionEnd BackendExchange::GetConnectionEnd() const
 {
-  const bool isReset =
-    connectionEnd_ == ConnectionEnd::Closed && pendingWrite_ &&
+  const bool hasWriteFailed =
+    pendingWrite_ && GetWrite() == RequestWrite::Failed &&
     pendingWrite_->error.category() == asio::error::get_system_category();
-  return isReset ? ConnectionEnd::Reset : connectionEnd_;
+  return connectionEnd_ == ConnectionEnd::Closed && hasWriteFailed
+           ? ConnectionEnd::Reset
+           : connectionEnd_;
 }
 
 asio::awaitable<ExchangeState> BackendExchange::ReadHead(Instant aDeadline)
--- a/tests/gateway/test_edge.cpp
+++ b/tests/gateway/test_edge.cpp
@@ -112,6 +112,7 @@
     ExchangeState head = ExchangeState::NotConnected;
     BodyPart body;
     unsigned status = 0;
+    ConnectionEnd end = ConnectionEnd::Open;
   };
 
   static boost::asio::awaitable<Received> RunExchange(
@@ -139,6 +140,7 @@
       received.status = exchange.GetHead().result_int();
       received.body = co_await exchange.ReadRest(deadline + seconds(4),
                                                  aMaxMegabytes * 1'000'000);
+      received.end = exchange.GetConnectionEnd();
       exchange.Finish(std::nullopt, true);
     }
     co_return received;
@@ -411,6 +413,7 @@
   const Received received = RespondWith("HTTP/1.1 200 OK\r\n\r\nall of it");
   CHECK(received.body.state == ExchangeState::Ok);
   CHECK(received.body.bytes == "all of it");
+  CHECK(received.end == ConnectionEnd::Closed);
   CHECK(IdleCount() == 0);
 }
 
@@ -449,6 +452,7 @@
     });
     CHECK(reset.body.state != ExchangeState::Ok);
     CHECK_FALSE(reset.body.isEnd);
+    CHECK(reset.end == ConnectionEnd::Reset);
     // Its kernel resets the connection for the unread rest of the request.
     const Received closed = Upload([&](RawSocket& aSocket) {
       sendParts(aSocket, sample.parts, sample.pause);
