--- a/servers/gateway/piece_service.cpp
+++ b/servers/gateway/piece_service.cpp
@@ -576,7 +576,7 @@
       response.body = std::move(body.bytes);
       co_return response;
     }
-    state_.metrics.Count("repeated_responses", "backend", aBackend->service);
+    state_.metrics.Count("repeated_responses", "service", aBackend->service);
   }
   co_return std::nullopt;
 }
--- a/servers/gateway/port_binding.h
+++ b/servers/gateway/port_binding.h
@@ -3,7 +3,6 @@
 #include "drivers/event_log.h"
 
 #include <functional>
-#include <span>
 #include <string>
 #include <string_view>
 #include <system_error>
