Count the pages of lists of the store, and log long lists

A list of the store that goes on wrote no line, so that nothing told apart a list that does not advance, entries that break their reader, and ends of other causes. gypsum_store_list_pages_total counts pages by part; store-list-long names page, entries and the key after which the next page begins, from page 32 on at each doubling.

--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/verb.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <random>
 #include <utility>
 
@@ -34,6 +35,9 @@
 /** Several items of the largest size; a gateway may use 260 MB. */
 constexpr std::size_t kMaxResponseBytes = 16'777'216;
 
+/** Pages from which on a list is logged, at each doubling. */
+constexpr std::size_t kLongListPages = 32;
+
 constexpr unsigned kOk = 200;
 constexpr unsigned kGone = 410;
 constexpr unsigned kTooManyRequests = 429;
@@ -208,6 +212,22 @@
   platformState_.ApplyBackends(aResponse.backends, "store");
 }
 
+void StoreFollower::NoteListPage(StorePart aPart,
+                                 std::size_t aPage,
+                                 std::size_t aEntries,
+                                 std::string_view aAfter)
+{
+  state_.metrics.Count("store_list_pages", "part", NameOf(aPart));
+  if (aPage >= kLongListPages && std::has_single_bit(aPage)) {
+    state_.log.Write(LogClass::Failure,
+                     "store-list-long",
+                     { { "part", NameOf(aPart) },
+                       { "page", aPage },
+                       { "entries", aEntries },
+                       { "after", aAfter } });
+  }
+}
+
 asio::awaitable<bool> StoreFollower::List(StorePart aPart,
                                           StoreRevision& aRevision)
 {
@@ -215,7 +235,9 @@
   EvacuationList evacuations;
   std::string after;
   Instant begin{};
+  std::size_t pages = 0;
   for (bool isFirst = true; isFirst || !after.empty(); isFirst = false) {
+    NoteListPage(aPart, ++pages, list.entries.size(), after);
     Reply reply = co_await Call(StoreListTarget(aPart, after), Duration{});
     if (reply.kind != Reply::Kind::Success) {
       co_return false;
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -8,11 +8,13 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace gypsum {
 
@@ -69,6 +71,11 @@
                                      Duration& aRetryDelay);
   /** Longest wait for which the knowledge stays young enough. */
   Duration WatchWait(StorePart aPart);
+  /** Counts the page of a list that is read next, and logs a long list. */
+  void NoteListPage(StorePart aPart,
+                    std::size_t aPage,
+                    std::size_t aEntries,
+                    std::string_view aAfter);
   /** False if not all entries could be listed in one era. */
   boost::asio::awaitable<bool> List(StorePart aPart, StoreRevision& aRevision);
   boost::asio::awaitable<Reply> Call(std::string aTarget, Duration aWait);
