Show that foreign keys in the store keep gateways from serving

Gateways that all start beside keys that a query must encode, such as a00%25 or a02&b=1, list the same page of the store for ever: they have no servers (RECOVER), and keep the entries of each round until they are over the memory of their VM (FAULT).

The fake store decodes queries as forms are, refuses malformed ones, and pages by 500 items or 1 MB; the cells keep pages of 5 items. Before, it took the key as it stood in the target, which is why no test saw this.

--- a/tests/cell/cell.cpp
+++ b/tests/cell/cell.cpp
@@ -28,6 +28,8 @@
 constexpr int kReplicaPort = 18'800;
 constexpr int kStorePort = 18'624;
 constexpr int kFirstDoorPort = 19'000;
+/** Low enough that lists of a small cell span several pages. */
+constexpr std::size_t kItemsPerPage = 5;
 
 std::string WithPort(const std::string& aAddress, int aPort)
 {
@@ -68,6 +70,7 @@
   loop_.Run([&] {
     store_ = std::make_unique<CellStore>(
       loop_, WithPort(networkPrefix_ + "1", kStorePort));
+    store_->SetPageSize({ .items = kItemsPerPage });
     AddReplicas(
       CellReplica::Kind::Model, "model", aSize.modelReplicas, modelReplicas_);
     AddReplicas(
--- a/tests/cell/cell_store.cpp
+++ b/tests/cell/cell_store.cpp
@@ -9,6 +9,9 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <system_error>
 #include <utility>
 
 namespace gypsum::tests {
@@ -18,8 +21,8 @@
 
 namespace {
 
-/** Low enough that lists span several pages. */
-constexpr std::size_t kMaxItemsPerPage = 5;
+/** Of as many digits as all that follow it, so that they sort. */
+constexpr std::uint64_t kFirstEndlessNumber = 1'000'000'000;
 
 std::string EncodeBase64(const std::string& aValue)
 {
@@ -30,21 +33,67 @@
   return text;
 }
 
-std::string QueryParameter(const std::string& aTarget, const std::string& aName)
+using Query = std::map<std::string, std::string>;
+
+/** Decodes a text of a form; empty if an escape is malformed. */
+std::optional<std::string> DecodeFormText(std::string_view aText)
+{
+  std::string text;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    if (aText[at] == '+') {
+      text.push_back(' ');
+      continue;
+    }
+    if (aText[at] != '%') {
+      text.push_back(aText[at]);
+      continue;
+    }
+    const std::string_view digits = aText.substr(at + 1, 2);
+    unsigned value = 0;
+    const auto [end, error] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    if (error != std::errc{} || end != digits.data() + 2) {
+      return std::nullopt;
+    }
+    text.push_back(static_cast<char>(value));
+    at += 2;
+  }
+  return text;
+}
+
+/** The parameters of a target; empty if the query is malformed. */
+std::optional<Query> DecodeQuery(std::string_view aTarget)
 {
-  const auto at = aTarget.find(aName + "=");
-  if (at == std::string::npos) {
-    return {};
+  Query query;
+  const auto begin = aTarget.find('?');
+  std::string_view rest =
+    begin == std::string_view::npos ? "" : aTarget.substr(begin + 1);
+  while (!rest.empty()) {
+    const std::string_view field = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), field.size() + 1));
+    const auto equals = std::min(field.find('='), field.size());
+    const auto name = DecodeFormText(field.substr(0, equals));
+    const auto value =
+      DecodeFormText(field.substr(std::min(field.size(), equals + 1)));
+    if (!name || !value) {
+      return std::nullopt;
+    }
+    query[*name] = *value;
   }
-  const auto begin = at + aName.size() + 1;
-  return aTarget.substr(begin, aTarget.find('&', begin) - begin);
+  return query;
+}
+
+StoreContent ContentOf(std::string_view aPrefix)
+{
+  return aPrefix.starts_with("op/") ? StoreContent::Configuration
+                                    : StoreContent::Servers;
 }
 
-StoreContent ContentOf(const std::string& aTarget)
+StoreContent ContentOfTarget(std::string_view aTarget)
 {
-  return QueryParameter(aTarget, "prefix").starts_with("op/")
-           ? StoreContent::Configuration
-           : StoreContent::Servers;
+  const auto query = DecodeQuery(aTarget);
+  return query ? ContentOf(query->contains("prefix") ? query->at("prefix") : "")
+               : StoreContent::Servers;
 }
 
 EdgeResponse JsonResponse(unsigned aStatus, const json::object& aBody)
@@ -160,7 +209,7 @@
     ++calls_;
     const auto text = aClient->GetRequest().target();
     const std::string target(text.data(), text.size());
-    const StoreContent content = ContentOf(target);
+    const StoreContent content = ContentOfTarget(target);
     aDoor.lastCallAt[content] = Now().steady;
     EdgeResponse response = co_await Respond(target, aDoor);
     const StoreMode mode = ModeOf(aDoor, content);
@@ -192,47 +241,79 @@
 asio::awaitable<EdgeResponse> CellStore::Respond(std::string aTarget,
                                                  const Door& aDoor)
 {
-  const StoreMode mode = ModeOf(aDoor, ContentOf(aTarget));
+  const StoreMode mode = ModeOf(aDoor, ContentOfTarget(aTarget));
   if (mode == StoreMode::Unavailable) {
     co_return JsonResponse(503, {});
   }
   if (mode == StoreMode::TooManyRequests) {
     co_return JsonResponse(429, {});
   }
-  const std::string prefix = QueryParameter(aTarget, "prefix");
-  const std::string after = QueryParameter(aTarget, "after");
+  const std::optional<Query> decoded = DecodeQuery(aTarget);
+  if (!decoded) {
+    ++malformedCalls_;
+    co_return JsonResponse(400, {});
+  }
+  Query query = *decoded;
+  const std::string prefix = query["prefix"];
+  const std::string after = query["after"];
   if (aTarget.starts_with("/gypsumstream/kv-watch")) {
-    co_return co_await Watch(prefix,
-                             std::stoull(after),
-                             std::stoull(QueryParameter(aTarget, "wait-ms")),
-                             aDoor);
+    co_return co_await Watch(
+      prefix, std::stoull(after), std::stoull(query["wait-ms"]), aDoor);
   }
   co_return List(prefix, after);
 }
 
+void CellStore::SetPageFault(StoreContent aContent, StorePageFault aFault)
+{
+  pageFaults_[aContent] = aFault;
+}
+
 EdgeResponse CellStore::List(const std::string& aPrefix,
-                             const std::string& aAfter) const
+                             const std::string& aAfter)
 {
+  ++listCalls_;
+  const auto itemOf = [](const std::string& aKey, const Item& aItem) {
+    return json::object{ { "key", aKey },
+                         { "value", EncodeBase64(aItem.value) },
+                         { "revision", aItem.revision },
+                         { "created-rev", aItem.created },
+                         { "lease", 0 } };
+  };
+  const StorePageFault fault = pageFaults_[ContentOf(aPrefix)];
   json::array items;
   bool hasMore = false;
+  const bool isFirst = aAfter.empty() || fault == StorePageFault::Repeated;
+  if (!isFirst && fault == StorePageFault::Endless) {
+    for (std::size_t index = 0; index < pageSize_.items; ++index) {
+      items.push_back(
+        itemOf(aAfter.substr(0, aAfter.find('~')) + "~" +
+                 std::to_string(kFirstEndlessNumber + ++endlessItems_),
+               { "{}", revision_, revision_ }));
+    }
+    hasMore = true;
+  }
+  const bool isMadeUp = !isFirst && (fault == StorePageFault::Endless ||
+                                     fault == StorePageFault::Empty);
+  std::size_t bytes = 0;
   for (const auto& [key, item] : items_) {
-    if (!key.starts_with(aPrefix) || (!aAfter.empty() && key <= aAfter)) {
+    if (isMadeUp || !key.starts_with(aPrefix) || (!isFirst && key <= aAfter)) {
       continue;
     }
-    if (items.size() == kMaxItemsPerPage) {
+    json::object entry = itemOf(key, item);
+    bytes += key.size() + entry["value"].as_string().size();
+    const bool isFull = items.size() == pageSize_.items ||
+                        (bytes > pageSize_.bytes && !items.empty());
+    if (isFull) {
       hasMore = true;
       break;
     }
-    items.push_back(json::object{ { "key", key },
-                                  { "value", EncodeBase64(item.value) },
-                                  { "revision", item.revision },
-                                  { "created-rev", item.created },
-                                  { "lease", 0 } });
+    items.push_back(std::move(entry));
   }
-  return JsonResponse(200,
-                      { { "items", std::move(items) },
-                        { "more-pages", hasMore },
-                        { "store-revision", revision_ } });
+  return JsonResponse(
+    200,
+    { { "items", std::move(items) },
+      { "more-pages", hasMore || fault != StorePageFault::None },
+      { "store-revision", revision_ } });
 }
 
 EdgeResponse CellStore::NoChanges() const
@@ -273,9 +354,7 @@
                                                std::uint64_t aWaitMs,
                                                const Door& aDoor)
 {
-  const StoreContent content = aPrefix.starts_with("op/")
-                                 ? StoreContent::Configuration
-                                 : StoreContent::Servers;
+  const StoreContent content = ContentOf(aPrefix);
   const Instant deadline = Now().steady + std::chrono::milliseconds(aWaitMs);
   for (;;) {
     if (aAfterRevision < compactedRevision_ || aAfterRevision > revision_) {
--- a/tests/cell/cell_store.h
+++ b/tests/cell/cell_store.h
@@ -38,7 +38,27 @@
   Servers,
 };
 
-/** Fake of the platform's metadata store, with lists and watches. */
+/** How long a page of a list may be; whatever comes first ends it. */
+struct StorePageSize
+{
+  std::size_t items = 500;
+  std::size_t bytes = 1'000'000; ///< Of keys and encoded values.
+};
+
+/** How the pages of the lists of one content go wrong. */
+enum class StorePageFault
+{
+  None,
+  Repeated, ///< Each page is the first one.
+  Empty,    ///< No page after the first has items, but each has a next one.
+  Endless,  ///< Each page has items that the next one comes after.
+};
+
+/**
+ * Fake of the platform's metadata store, with lists and watches.
+ *
+ * Queries are decoded as forms are; one that is malformed gets a 400.
+ */
 class CellStore
 {
 public:
@@ -62,7 +82,13 @@
   void KeepCopy();
   /** Begins the next era with the content of the copy. */
   void RestoreCopy();
+  void SetPageSize(StorePageSize aSize) { pageSize_ = aSize; }
+  void SetPageFault(StoreContent aContent, StorePageFault aFault);
   std::uint64_t Calls() const { return calls_; }
+  /** Calls for a page of a list. */
+  std::uint64_t ListCalls() const { return listCalls_; }
+  /** Calls whose query was malformed. */
+  std::uint64_t MalformedCalls() const { return malformedCalls_; }
   std::uint64_t Revision() const { return revision_; }
 
 private:
@@ -99,8 +125,7 @@
   boost::asio::awaitable<EdgeResponse> Respond(std::string aTarget,
                                                const Door& aDoor);
   StoreMode ModeOf(const Door& aDoor, StoreContent aContent) const;
-  EdgeResponse List(const std::string& aPrefix,
-                    const std::string& aAfter) const;
+  EdgeResponse List(const std::string& aPrefix, const std::string& aAfter);
   boost::asio::awaitable<EdgeResponse> Watch(std::string aPrefix,
                                              std::uint64_t aAfterRevision,
                                              std::uint64_t aWaitMs,
@@ -121,7 +146,12 @@
   std::uint64_t compactedRevision_ = 0;
   std::uint64_t era_ = 1; ///< In all responses.
   Copy copy_;
+  StorePageSize pageSize_;
+  std::map<StoreContent, StorePageFault> pageFaults_;
   std::uint64_t calls_ = 0;
+  std::uint64_t listCalls_ = 0;
+  std::uint64_t endlessItems_ = 0;
+  std::uint64_t malformedCalls_ = 0;
   StoreMode mode_ = StoreMode::Up;
 };
 
--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -7,15 +7,14 @@
 #include "tests/cell/limit_check.h"
 #include "tests/cell/rest_check.h"
 #include "tests/cell/stream_check.h"
+#include "tests/support/resident_memory.h"
 #include "tests/support/wait.h"
 
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <fstream>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -64,21 +63,6 @@
 /** A restart keeps the connections here, so that only the store tells of it. */
 constexpr Duration kColdLag = milliseconds(1'000);
 
-std::uint64_t ResidentMemoryKb(pid_t aProcess)
-{
-  std::ifstream in("/proc/" + std::to_string(aProcess) + "/status");
-  std::string line;
-  while (std::getline(in, line)) {
-    if (line.starts_with("VmRSS:")) {
-      std::istringstream words(line.substr(6));
-      std::uint64_t kilobytes = 0;
-      words >> kilobytes;
-      return kilobytes;
-    }
-  }
-  return 0;
-}
-
 } // namespace
 
 Soak::Soak(std::uint64_t aSeed, CellSize aSize, seconds aFaultDuration)
