--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -4,10 +4,13 @@
 #include "platform/piece_calls.h"
 #include "platform/store_calls.h"
 
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <random>
 #include <string>
 #include <variant>
@@ -198,6 +201,42 @@
   }
 }
 
+TEST_CASE("[Platform] the target of a list holds any key for any decoder")
+{
+  const auto decode = [](const std::string& aTarget, bool aIsForm) {
+    const auto url = boost::urls::parse_relative_ref(aTarget);
+    REQUIRE(url);
+    std::map<std::string, std::string> query;
+    boost::urls::encoding_opts options;
+    options.space_as_plus = aIsForm;
+    for (const auto& parameter : url->params(options)) {
+      query[parameter.key] = parameter.value;
+    }
+    return query;
+  };
+  std::minstd_rand random(73);
+  constexpr std::size_t kMaxKeyBytes = 200;
+  constexpr int kKeys = 2'000;
+  for (int round = 0; round < kKeys; ++round) {
+    std::string key(1 + random() % kMaxKeyBytes, '\0');
+    std::ranges::generate(key,
+                          [&] { return static_cast<char>(random() % 256); });
+    const std::string target = StoreListTarget(StorePart::Backends, key);
+    CAPTURE(target);
+    for (const bool isForm : { false, true }) {
+      const auto query = decode(target, isForm);
+      REQUIRE(query.size() == 2);
+      CHECK(query.at("prefix") == "servers/");
+      CHECK(query.at("after") == key);
+    }
+  }
+  CHECK(decode(StoreListTarget(StorePart::Configuration, ""), true) ==
+        std::map<std::string, std::string>{ { "prefix", "op/" } });
+  CHECK(decode(StoreWatchTarget(StorePart::Backends, 7, 700), true) ==
+        std::map<std::string, std::string>{
+          { "prefix", "servers/" }, { "after", "7" }, { "wait-ms", "700" } });
+}
+
 TEST_CASE("[Platform] the era of the store is a whole number or none")
 {
   CHECK(DecodeStoreEra("7") == 7U);
