End lists of the store whose pages do not advance

What callers saw: nothing was served by gateways that had just started, and their memory grew over that of their VM, as long as the store sent the same page again, empty pages with a next one (which counted as the end of the list, so that servers were missing without an error), or pages without end.

Cause: a list went on for as long as the store named a next page, without a pause, and kept all entries.

StoreList (core) judges each page: it has to end at a key at which none has ended before, whatever order the store has; pages and items are limited, and what is kept is taken from the memory for bodies. A list that is broken off fails like a call: pause, retry, the former registry stays. store-list-failed, two metrics, the dump and the ready address tell why, after how many pages and at which key.

--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -284,7 +284,9 @@
   std::string_view aTarget) const
 {
   if (aTarget.ends_with("/readyz")) {
-    return IsReady() ? Text(kOk, "ready\n") : Text(kUnavailable, "not ready\n");
+    const std::string failedLists = platformState_.FailedLists();
+    return IsReady() ? Text(kOk, "ready\n" + failedLists)
+                     : Text(kUnavailable, "not ready\n" + failedLists);
   }
   return Text(kNotFound, "no such path\n");
 }
@@ -431,6 +433,7 @@
     text += " " + zone;
   }
   text += "\n";
+  text += platformState_.FailedLists();
   text += "peers: " + std::to_string(peers_.LiveGateways() - 1) + "\n";
   text += "work: " + WorkText() + "\n";
   text +=
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/platform_state.h"
 
+#include "core/printable_text.h"
 #include "drivers/clock.h"
 #include "platform/configuration_decoder.h"
 
@@ -11,6 +12,18 @@
 
 namespace gypsum {
 
+namespace {
+
+/** Why a list was broken off: a call failed, or its pages went wrong. */
+std::string_view ReasonOf(const StoreList& aList)
+{
+  return aList.GetState() == StoreList::State::Reading
+           ? "call-failed"
+           : NameOf(aList.GetState());
+}
+
+} // namespace
+
 std::uint64_t PlatformState::Version() const
 {
   return state_.routes ? state_.routes->Configuration().version : 0;
@@ -205,6 +218,49 @@
   state_.versions.Observe(state_.registry.Versions(), Now().steady);
 }
 
+void PlatformState::OnListEnded(StorePart aPart,
+                                const StoreList& aList,
+                                bool aIsListed)
+{
+  state_.metrics.Set(
+    "store_list_failing", "part", NameOf(aPart), aIsListed ? 0.0 : 1.0);
+  if (aIsListed) {
+    failedLists_.erase(aPart);
+    return;
+  }
+  failedLists_.insert_or_assign(aPart, aList);
+  // Of a list that ends at its first page `store-away` tells.
+  if (aList.Pages() == 0) {
+    return;
+  }
+  state_.metrics.Count("store_lists_failed", "what", ReasonOf(aList));
+  state_.log.Write(LogClass::Failure,
+                   "store-list-failed",
+                   { { "part", NameOf(aPart) },
+                     { "reason", ReasonOf(aList) },
+                     { "pages", aList.Pages() },
+                     { "entries", aList.Items() },
+                     { "after", aList.After() },
+                     { "registry", TextOf(state_.registry.Revision()) } });
+}
+
+std::string PlatformState::FailedLists() const
+{
+  std::string text;
+  for (const auto& [part, list] : failedLists_) {
+    text.append("list of ")
+      .append(NameOf(part))
+      .append(" failed: ")
+      .append(ReasonOf(list))
+      .append(" after ")
+      .append(std::to_string(list.Pages()))
+      .append(" pages, at '")
+      .append(ToPrintable(list.After()))
+      .append("'\n");
+  }
+  return text;
+}
+
 void PlatformState::OnStoreCallSucceeded()
 {
   const Instant now = Now().steady;
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/backend_registry.h"
+#include "core/gateway/store_list.h"
 #include "servers/gateway/gateway_state.h"
 
 #include <functional>
@@ -64,6 +65,12 @@
   /** A backend server has said itself that it leaves, to this gateway or to the
    * peer that `aSource` names; true if that is new. */
   bool OnLeaving(const LeavingBackend& aLeaving, std::string_view aSource);
+  /** A list of the store has ended, or was broken off after the pages that it
+   * tells of. */
+  void OnListEnded(StorePart aPart, const StoreList& aList, bool aIsListed);
+  /** The parts whose last list was broken off, and where; a line each, empty if
+   * there are none. */
+  std::string FailedLists() const;
   void OnStoreCallSucceeded();
   void OnStoreCallFailed(std::string_view aReason);
   bool IsStoreUnavailable() const { return failedStoreCalls_ > 0; }
@@ -89,6 +96,8 @@
   VersionObserver versionObserver_;
   ZoneObserver zoneObserver_;
   std::map<std::string, Instant, std::less<>> loggedColdUntil_;
+  /** Lists that were broken off since the part was last listed. */
+  std::map<StorePart, StoreList> failedLists_;
   std::uint32_t failedStoreCalls_ = 0;
   Instant failingSince_{};
 };
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -50,6 +50,25 @@
                                             factor(source)));
 }
 
+/** Memory that a list takes for the entries of a page. */
+std::size_t BytesOf(const StoreResponse& aResponse)
+{
+  std::size_t bytes = 0;
+  for (const RegistryChange& change : aResponse.backends) {
+    bytes += sizeof(change) + change.id.size();
+    if (change.record) {
+      const BackendRecord& record = *change.record;
+      bytes += record.id.size() + record.service.size() +
+               record.address.size() + record.zone.size() +
+               record.version.size();
+    }
+  }
+  for (const ZoneChange& change : aResponse.zones) {
+    bytes += sizeof(change.zone) + change.zone.size();
+  }
+  return bytes;
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(GatewayState& aState,
@@ -212,33 +231,43 @@
   platformState_.ApplyBackends(aResponse.backends, "store");
 }
 
-void StoreFollower::NoteListPage(StorePart aPart,
-                                 std::size_t aPage,
-                                 std::size_t aEntries,
-                                 std::string_view aAfter)
+void StoreFollower::NoteListPage(StorePart aPart, const StoreList& aList)
 {
   state_.metrics.Count("store_list_pages", "part", NameOf(aPart));
-  if (aPage >= kLongListPages && std::has_single_bit(aPage)) {
+  const std::size_t page = aList.Pages() + 1;
+  if (page >= kLongListPages && std::has_single_bit(page)) {
     state_.log.Write(LogClass::Failure,
                      "store-list-long",
                      { { "part", NameOf(aPart) },
-                       { "page", aPage },
-                       { "entries", aEntries },
-                       { "after", aAfter } });
+                       { "page", page },
+                       { "entries", aList.Items() },
+                       { "after", aList.After() } });
   }
 }
 
 asio::awaitable<bool> StoreFollower::List(StorePart aPart,
                                           StoreRevision& aRevision)
 {
-  RegistrySnapshot list;
+  StoreList list;
+  const bool isListed = co_await ReadPages(aPart, list, aRevision);
+  platformState_.OnListEnded(aPart, list, isListed);
+  co_return isListed;
+}
+
+asio::awaitable<bool> StoreFollower::ReadPages(StorePart aPart,
+                                               StoreList& aList,
+                                               StoreRevision& aRevision)
+{
+  RegistrySnapshot registry;
   EvacuationList evacuations;
-  std::string after;
+  ByteReservation kept(state_.pool.BodyBudget());
+  std::size_t keptBytes = 0;
   Instant begin{};
-  std::size_t pages = 0;
-  for (bool isFirst = true; isFirst || !after.empty(); isFirst = false) {
-    NoteListPage(aPart, ++pages, list.entries.size(), after);
-    Reply reply = co_await Call(StoreListTarget(aPart, after), Duration{});
+  while (aList.GetState() == StoreList::State::Reading) {
+    NoteListPage(aPart, aList);
+    const bool isFirst = aList.Pages() == 0;
+    Reply reply =
+      co_await Call(StoreListTarget(aPart, aList.After()), Duration{});
     if (reply.kind != Reply::Kind::Success) {
       co_return false;
     }
@@ -250,30 +279,37 @@
       if (!IsCurrent(aPart, eras_.OnList(reply.era), known, reply)) {
         co_return false;
       }
-      list.revision = reply.response.revision;
-      evacuations.version = list.revision;
+      registry.revision = reply.response.revision;
+      evacuations.version = registry.revision;
       begin = reply.sentAt;
     }
-    const std::uint64_t era = list.revision.era;
+    const std::uint64_t era = registry.revision.era;
     if (!IsCurrent(aPart, StoreEras::OfWatch(era, reply.era), era, reply)) {
       co_return false;
     }
     if (aPart == StorePart::Configuration) {
       Adopt(aPart, reply.response);
     }
+    keptBytes += BytesOf(reply.response);
+    aList.OnPage(reply.response.page);
+    if (!kept.Reserve(keptBytes)) {
+      aList.OnOutOfMemory();
+    }
     std::ranges::transform(reply.response.zones,
                            std::back_inserter(evacuations.zones),
                            &ZoneChange::zone);
     std::ranges::move(reply.response.backends,
-                      std::back_inserter(list.entries));
-    after = reply.response.nextPageAfter.value_or("");
+                      std::back_inserter(registry.entries));
+  }
+  if (aList.GetState() != StoreList::State::Complete) {
+    co_return false;
   }
   if (aPart == StorePart::Backends) {
-    platformState_.ReplaceBackends(list, "store");
+    platformState_.ReplaceBackends(registry, "store");
   } else {
     platformState_.ReplaceEvacuations(evacuations, "store");
   }
-  aRevision = list.revision;
+  aRevision = registry.revision;
   OnRead(aPart, begin);
   co_return true;
 }
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/gateway/store_eras.h"
+#include "core/gateway/store_list.h"
 #include "platform/store_calls.h"
 #include "drivers/edge/backend_exchange.h"
 #include "servers/gateway/gateway_state.h"
@@ -8,13 +9,11 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace gypsum {
 
@@ -71,13 +70,14 @@
                                      Duration& aRetryDelay);
   /** Longest wait for which the knowledge stays young enough. */
   Duration WatchWait(StorePart aPart);
-  /** Counts the page of a list that is read next, and logs a long list. */
-  void NoteListPage(StorePart aPart,
-                    std::size_t aPage,
-                    std::size_t aEntries,
-                    std::string_view aAfter);
   /** False if not all entries could be listed in one era. */
   boost::asio::awaitable<bool> List(StorePart aPart, StoreRevision& aRevision);
+  /** The same; the list tells how far it came. */
+  boost::asio::awaitable<bool> ReadPages(StorePart aPart,
+                                         StoreList& aList,
+                                         StoreRevision& aRevision);
+  /** Counts the page of a list that is read next, and logs a long list. */
+  void NoteListPage(StorePart aPart, const StoreList& aList);
   boost::asio::awaitable<Reply> Call(std::string aTarget, Duration aWait);
   /** The era that a response names; logs one that is no number. */
   std::optional<std::uint64_t> EraOf(const BackendExchange& aExchange);
--- a/tests/gateway/test_platform.cpp
+++ b/tests/gateway/test_platform.cpp
@@ -194,13 +194,26 @@
   CHECK(response.backends[0].isUnreadable);
   CHECK_FALSE(response.backends[1].isUnreadable);
   CHECK_FALSE(response.backends[1].record);
-  CHECK(response.nextPageAfter == "servers/i-2");
+  CHECK(response.page.lastKey == "servers/i-2");
+  CHECK(response.page.items == 3);
+  CHECK(response.page.hasMore);
   for (const char* const text :
        { "", "{}", R"({"items":[]})", R"({"store-revision":1})", "[1]" }) {
     CHECK(std::holds_alternative<DecodeFault>(DecodeStoreResponse(text, 0)));
   }
 }
 
+TEST_CASE("[Platform] a page without items keeps that there are more")
+{
+  const auto decoded = DecodeStoreResponse(
+    R"({"items":[],"more-pages":true,"store-revision":9})", 3);
+  REQUIRE(std::holds_alternative<StoreResponse>(decoded));
+  const StorePage& page = std::get<StoreResponse>(decoded).page;
+  CHECK(page.hasMore);
+  CHECK(page.items == 0);
+  CHECK(page.lastKey.empty());
+}
+
 TEST_CASE("[Platform] the target of a list holds any key for any decoder")
 {
   const auto decode = [](const std::string& aTarget, bool aIsForm) {
