Keep nothing of entries of the store that name no server

Each entry that can't be read, of any writer, was kept with its key in the registry of every gateway, sent to every peer that got the registry, and in lists of the store until their end; it was logged one by one by watches, and not at all by lists.

They are dropped as they are read: a server whose entry is no longer readable is removed at once, as before, and peers learn of it as a removal. One log line a response and a metric tell how many there are.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -93,10 +93,14 @@
   if (found != entries_.end() && found->second.revision >= aChange.revision) {
     return;
   }
-  if (!aChange.record && !aChange.isUnreadable) {
+  if (!aChange.record) {
     if (found == entries_.end()) {
       return;
     }
+    if (aChange.isUnreadable) {
+      RemoveNow(found, "unreadable", aChange.revision, aEvents);
+      return;
+    }
     isSettled_ = false;
     if (IsWithinReregistrationPeriod(aNow)) {
       found->second.missingUntil = *reregistrationEndsAt_;
@@ -104,14 +108,12 @@
       hasMissing_ = true;
       return;
     }
-    aEvents.push_back(EventOf(aChange.id, "removed", found->second));
-    NoteRemoval(aChange.id, aChange.revision);
-    entries_.erase(found);
+    RemoveNow(found, "removed", aChange.revision, aEvents);
     return;
   }
   Entry& entry = entries_[aChange.id];
   const bool isFromCopy =
-    entry.record && aChange.record && entry.revision.era < aChange.revision.era;
+    entry.record && entry.revision.era < aChange.revision.era;
   entry.revision = aChange.revision;
   if (isFromCopy && aChange.record->startedMs < entry.record->startedMs) {
     // The copy lacks the later incarnation, which registers again.
@@ -125,12 +127,6 @@
       entry.record->startedMs == aChange.record->startedMs) {
     leavingSince_.try_emplace({ aChange.id, aChange.record->startedMs }, aNow);
   }
-  if (aChange.isUnreadable) {
-    entry.record.reset();
-    isSettled_ = false;
-    aEvents.push_back(EventOf(aChange.id, "unreadable", entry));
-    return;
-  }
   entry.cold = { aNow + aChange.coldFor, aNow };
   allWarmFrom_ = std::max(allWarmFrom_, entry.cold.until);
   const std::string kind(DescribeChange(entry.record, *aChange.record));
@@ -142,6 +138,17 @@
   aEvents.push_back(EventOf(aChange.id, kind, entry));
 }
 
+void BackendRegistry::RemoveNow(Entries::iterator aEntry,
+                                std::string_view aKind,
+                                StoreRevision aRevision,
+                                std::vector<RegistryEvent>& aEvents)
+{
+  isSettled_ = false;
+  aEvents.push_back(EventOf(aEntry->first, aKind, aEntry->second));
+  NoteRemoval(aEntry->first, aRevision);
+  entries_.erase(aEntry);
+}
+
 void BackendRegistry::Settle(std::vector<RegistryEvent>& aEvents)
 {
   if (std::exchange(isSettled_, true)) {
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -42,7 +42,7 @@
   std::string id;
   StoreRevision revision;
   std::optional<BackendRecord> record; ///< Empty: removed or unreadable.
-  bool isUnreadable = false;
+  bool isUnreadable = false;           ///< Names no server to use.
   /** The store lacks the entry: it is removed after this time, unless the
    * server registers again. */
   std::optional<Duration> removedIn{};
@@ -91,9 +91,9 @@
   std::string id;
   std::string kind; ///< `added`, `restarted`, `draining`, `removed`, ...
   std::string service;
-  std::string version; ///< Of the software; empty if the entry is unreadable.
-  std::uint64_t startedMs = 0; ///< Zero if the entry is unreadable.
-  bool wasLeaving = false;     ///< It had said before that it leaves.
+  std::string version; ///< Of the software.
+  std::uint64_t startedMs = 0;
+  bool wasLeaving = false; ///< It had said before that it leaves.
 };
 
 /**
@@ -104,7 +104,8 @@
 bool HadRestarts(const RegistrySnapshot& aRegistry, std::uint64_t aThenMs);
 
 /**
- * Backend servers by service, as published in the store.
+ * Backend servers by service, as published in the store. Nothing is kept of
+ * entries that name none.
  *
  * A change of an entry is applied only if its revision is newer. Leases expire
  * while the store is unreachable, so an entry that is missing right after the
@@ -201,7 +202,7 @@
   struct Entry
   {
     StoreRevision revision;
-    BackendPtr record; ///< Null while the entry is unreadable.
+    BackendPtr record; ///< Never null.
     std::optional<Instant> missingUntil;
     StoreRevision missingSince; ///< Set with `missingUntil`.
     ColdWord cold;
@@ -212,6 +213,7 @@
     StoreRevision revision;
   };
 
+  using Entries = std::map<std::string, Entry, std::less<>>;
   using Incarnation = std::pair<std::string, std::uint64_t>;
 
   RegistryEvent EventOf(std::string_view aId,
@@ -221,6 +223,10 @@
   void ApplyOne(const RegistryChange& aChange,
                 Instant aNow,
                 std::vector<RegistryEvent>& aEvents);
+  void RemoveNow(Entries::iterator aEntry,
+                 std::string_view aKind,
+                 StoreRevision aRevision,
+                 std::vector<RegistryEvent>& aEvents);
   /** Finds what follows from the changes that were taken in. */
   void Settle(std::vector<RegistryEvent>& aEvents);
   void NoteRemoval(const std::string& aId, StoreRevision aRevision);
@@ -236,7 +242,7 @@
   bool IsListed(const Incarnation& aIncarnation) const;
   bool IsWithinReregistrationPeriod(Instant aNow) const;
 
-  std::map<std::string, Entry, std::less<>> entries_;
+  Entries entries_;
   std::map<std::string, std::vector<BackendPtr>, std::less<>> usable_;
   std::map<std::string, BackendPtr, std::less<>> byAddress_;
   std::set<ServiceVersion> versions_;
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/store_follower.h"
 
+#include "core/printable_text.h"
 #include "core/scope_exit.h"
 #include "drivers/clock.h"
 
@@ -214,13 +215,24 @@
   return false;
 }
 
-void StoreFollower::Adopt(StorePart aPart, const StoreResponse& aResponse)
+void StoreFollower::NoteFaults(StorePart aPart,
+                               std::span<const DecodeFault> aFaults)
 {
-  for (const DecodeFault& fault : aResponse.faults) {
-    state_.log.Write(LogClass::StateChange,
-                     "store-entry-unreadable",
-                     { { "reason", fault.text } });
+  if (aFaults.empty()) {
+    return;
   }
+  std::ranges::for_each(aFaults, [&](const DecodeFault&) {
+    state_.metrics.Count("store_entries_unreadable", "part", NameOf(aPart));
+  });
+  state_.log.Write(LogClass::StateChange,
+                   "store-entries-unreadable",
+                   { { "part", NameOf(aPart) },
+                     { "count", aFaults.size() },
+                     { "first", ToPrintable(aFaults.front().text) } });
+}
+
+void StoreFollower::Adopt(StorePart aPart, const StoreResponse& aResponse)
+{
   if (aPart == StorePart::Configuration) {
     if (aResponse.configuration) {
       platformState_.AdoptConfiguration(
@@ -287,9 +299,13 @@
     if (!IsCurrent(aPart, StoreEras::OfWatch(era, reply.era), era, reply)) {
       co_return false;
     }
+    NoteFaults(aPart, reply.response.faults);
     if (aPart == StorePart::Configuration) {
       Adopt(aPart, reply.response);
     }
+    std::erase_if(reply.response.backends, [&](const RegistryChange& aChange) {
+      return aChange.isUnreadable && !state_.registry.Lists(aChange.id);
+    });
     keptBytes += BytesOf(reply.response);
     aList.OnPage(reply.response.page);
     if (!kept.Reserve(keptBytes)) {
@@ -352,6 +368,7 @@
       const bool hasChanges = reply.response.configuration.has_value() ||
                               !reply.response.backends.empty() ||
                               !reply.response.zones.empty();
+      NoteFaults(aPart, reply.response.faults);
       Adopt(aPart, reply.response);
       platformState_.ApplyEvacuations(reply.response.zones, "store");
       // Without a change the store has waited; with one, it may have responded
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace gypsum {
@@ -90,6 +91,8 @@
   boost::asio::awaitable<void> Pause(Duration aTime);
   /** Notes whether this gateway reads a part of the store. */
   void SetReading(StorePart aPart, bool aIsReading);
+  /** Counts and logs the entries of a response that can't be read. */
+  void NoteFaults(StorePart aPart, std::span<const DecodeFault> aFaults);
   void Adopt(StorePart aPart, const StoreResponse& aResponse);
   /** The store has confirmed what one of its lists or watches covers. */
   void OnRead(StorePart aPart, Instant aUpTo);
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -121,6 +121,35 @@
   CHECK(UsableCount() == 1);
 }
 
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] of entries that name no server nothing is "
+                  "kept or sent to peers")
+{
+  Add(Record("a", "10.0.0.1:1"), 1);
+  for (std::uint64_t number = 0; number < 1'000; ++number) {
+    registry.Apply({ "a" + std::to_string(number) + "%25",
+                     { 0, 2 + number },
+                     std::nullopt,
+                     true },
+                   now);
+  }
+  CHECK(registry.Snapshot(now).entries.size() == 1);
+  CHECK(registry.SnapshotSince({ 0, 1 }, now).entries.empty());
+  CHECK(registry.Revision() == StoreRevision{ 0, 1'001 });
+}
+
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] peers learn of an entry that is no longer "
+                  "readable")
+{
+  Add(Record("a", "10.0.0.1:1"), 1);
+  BackendRegistry peer;
+  peer.Replace(registry.Snapshot(now), now);
+  registry.Apply({ "a", { 0, 2 }, std::nullopt, true }, now);
+  peer.Replace(registry.SnapshotSince(peer.Revision(), now), now);
+  CHECK(peer.Usable("model").empty());
+}
+
 TEST_CASE_FIXTURE(RegistryFixture,
                   "[BackendRegistry] a snapshot removes the entries it lacks, "
                   "an older one does not")
