Use the servers of a list that is not whole

A list that was broken off at its second page was of no use: a gateway without a registry served nothing, although the store had named servers on the first.

Pages other than the last are taken in as they are read. The registry keeps its revision and all other entries, so that peers and watches do not take it for whole. A failed list is forgotten as soon as the part is known newer, by a peer too.

--- a/core/gateway/backend_registry.cpp
+++ b/core/gateway/backend_registry.cpp
@@ -85,6 +85,23 @@
   return events;
 }
 
+std::vector<RegistryEvent> BackendRegistry::ApplyPage(
+  std::span<const RegistryChange> aEntries,
+  StoreRevision aListRevision,
+  Instant aNow)
+{
+  std::vector<RegistryEvent> events;
+  // What a new era lacks is judged with the whole list.
+  if (revision_.revision > 0 && revision_.era != aListRevision.era) {
+    return events;
+  }
+  for (const RegistryChange& entry : aEntries) {
+    ApplyOne(entry, aNow, events);
+  }
+  Settle(events);
+  return events;
+}
+
 void BackendRegistry::ApplyOne(const RegistryChange& aChange,
                                Instant aNow,
                                std::vector<RegistryEvent>& aEvents)
--- a/core/gateway/backend_registry.h
+++ b/core/gateway/backend_registry.h
@@ -134,6 +134,11 @@
   /** The same for changes that arrive together, at the cost of one. */
   std::vector<RegistryEvent> Apply(std::span<const RegistryChange> aChanges,
                                    Instant aNow);
+  /** Takes in the entries of one page of a list that goes on, or was broken
+   * off: the registry keeps its revision, and all other entries. */
+  std::vector<RegistryEvent> ApplyPage(std::span<const RegistryChange> aEntries,
+                                       StoreRevision aListRevision,
+                                       Instant aNow);
   /** Replaces all entries, or takes in those that have changed; not if the
    * snapshot is older than the registry, or leaves out what it lacks. */
   std::vector<RegistryEvent> Replace(const RegistrySnapshot& aSnapshot,
--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -36,6 +36,8 @@
     return;
   }
   knowledge.OnVersion(aVersion);
+  // A peer may have listed what this gateway could not.
+  ForgetFailedList(aPart);
   if (versionObserver_) {
     versionObserver_(aPart);
   }
@@ -119,6 +121,17 @@
   OnVersion(StorePart::Backends, state_.registry.Revision());
 }
 
+void PlatformState::ApplyBackendPage(std::span<const RegistryChange> aEntries,
+                                     StoreRevision aListRevision)
+{
+  ObserveVersions();
+  OnRegistryEvents(
+    state_.registry.ApplyPage(aEntries, aListRevision, Now().steady),
+    "store-page");
+  LogColdServers(aEntries, "store-page");
+  ObserveVersions();
+}
+
 void PlatformState::ReplaceBackends(const RegistrySnapshot& aSnapshot,
                                     std::string_view aSource)
 {
@@ -222,13 +235,12 @@
                                 const StoreList& aList,
                                 bool aIsListed)
 {
-  state_.metrics.Set(
-    "store_list_failing", "part", NameOf(aPart), aIsListed ? 0.0 : 1.0);
   if (aIsListed) {
-    failedLists_.erase(aPart);
+    ForgetFailedList(aPart);
     return;
   }
   failedLists_.insert_or_assign(aPart, aList);
+  state_.metrics.Set("store_list_failing", "part", NameOf(aPart), 1.0);
   // Of a list that ends at its first page `store-away` tells.
   if (aList.Pages() == 0) {
     return;
@@ -244,6 +256,13 @@
                      { "registry", TextOf(state_.registry.Revision()) } });
 }
 
+void PlatformState::ForgetFailedList(StorePart aPart)
+{
+  if (failedLists_.erase(aPart) > 0) {
+    state_.metrics.Set("store_list_failing", "part", NameOf(aPart), 0.0);
+  }
+}
+
 std::string PlatformState::FailedLists() const
 {
   std::string text;
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -56,6 +56,9 @@
                           Duration aAge);
   void ApplyBackends(std::span<const RegistryChange> aChanges,
                      std::string_view aSource);
+  /** The entries of one page of a list that is not whole. */
+  void ApplyBackendPage(std::span<const RegistryChange> aEntries,
+                        StoreRevision aListRevision);
   void ReplaceBackends(const RegistrySnapshot& aSnapshot,
                        std::string_view aSource);
   void ApplyEvacuations(std::span<const ZoneChange> aChanges,
@@ -68,8 +71,8 @@
   /** A list of the store has ended, or was broken off after the pages that it
    * tells of. */
   void OnListEnded(StorePart aPart, const StoreList& aList, bool aIsListed);
-  /** The parts whose last list was broken off, and where; a line each, empty if
-   * there are none. */
+  /** The parts whose last list was broken off, and where, if nothing newer is
+   * known of them since; a line each. */
   std::string FailedLists() const;
   void OnStoreCallSucceeded();
   void OnStoreCallFailed(std::string_view aReason);
@@ -79,6 +82,7 @@
   void Expire();
 
 private:
+  void ForgetFailedList(StorePart aPart);
   void OnZoneChanges(std::span<const ZoneChange> aChanges,
                      std::string_view aSource);
   /** Logs servers that have become cold by their entries. */
@@ -96,7 +100,7 @@
   VersionObserver versionObserver_;
   ZoneObserver zoneObserver_;
   std::map<std::string, Instant, std::less<>> loggedColdUntil_;
-  /** Lists that were broken off since the part was last listed. */
+  /** The last lists of parts, where they were broken off. */
   std::map<StorePart, StoreList> failedLists_;
   std::uint32_t failedStoreCalls_ = 0;
   Instant failingSince_{};
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -311,6 +311,11 @@
     if (!kept.Reserve(keptBytes)) {
       aList.OnOutOfMemory();
     }
+    // Servers of a list that is never whole are better than none.
+    if (aList.GetState() != StoreList::State::Complete) {
+      platformState_.ApplyBackendPage(reply.response.backends,
+                                      registry.revision);
+    }
     std::ranges::transform(reply.response.zones,
                            std::back_inserter(evacuations.zones),
                            &ZoneChange::zone);
--- a/tests/cell/test_store_list.cpp
+++ b/tests/cell/test_store_list.cpp
@@ -103,6 +103,14 @@
     CHECK(cell.Run([&] { return cell.Store().MalformedCalls(); }) == 0);
   }
 
+  static std::string ReadinessOf(const CellGateway& aGateway)
+  {
+    CellRequest probe;
+    probe.method = "GET";
+    probe.path = "/gypsumstream/readyz";
+    return CellClient(aGateway.readyAddress).Send(probe).body;
+  }
+
   Cell cell{ CellSize{ kGateways, 2, 2, 2 } };
 };
 
@@ -172,4 +180,47 @@
   CheckServed();
 }
 
+// Guards against a list that is of no use until its last page.
+TEST_CASE_FIXTURE(StoreListFixture,
+                  "[StoreList] gateways serve with the servers that a list "
+                  "names before it is broken off")
+{
+  SUBCASE("since each page is the first one")
+  {
+    SetPageFault(StoreContent::Servers, StorePageFault::Repeated);
+  }
+  SUBCASE("since pages are empty")
+  {
+    SetPageFault(StoreContent::Servers, StorePageFault::Empty);
+  }
+  StartAll();
+  CheckServed();
+  CHECK(ReadinessOf(cell.Gateways().front()).find("list of backends failed") !=
+        std::string::npos);
+  SetPageFault(StoreContent::Servers, StorePageFault::None);
+  CHECK(
+    WaitUntil([&] { return ReadinessOf(cell.Gateways().front()) == "ready\n"; },
+              kRecoveryTime));
+}
+
+TEST_CASE_FIXTURE(StoreListFixture,
+                  "[StoreList] gateways keep the servers that they know while "
+                  "lists do not advance")
+{
+  REQUIRE(cell.Start());
+  SetPageFault(StoreContent::Servers, StorePageFault::Repeated);
+  SUBCASE("and the history is gone")
+  {
+    cell.Run([&] { cell.Store().CompactHistory(); });
+    cell.Publish();
+  }
+  SUBCASE("and one starts again, beside its peers")
+  {
+    CellGateway& gateway = cell.Gateways().front();
+    gateway.process.reset();
+    cell.StartGateway(gateway);
+  }
+  CheckServed();
+}
+
 } // namespace gypsum::tests
--- a/tests/gateway/test_backend_registry.cpp
+++ b/tests/gateway/test_backend_registry.cpp
@@ -138,6 +138,40 @@
   CHECK(registry.Revision() == StoreRevision{ 0, 1'001 });
 }
 
+TEST_CASE_FIXTURE(RegistryFixture,
+                  "[BackendRegistry] a page adds its servers and keeps the "
+                  "revision and all other servers")
+{
+  const std::vector<RegistryChange> page{
+    { "b", { 0, 7 }, Record("b", "10.0.0.2:1") }
+  };
+  SUBCASE("of a registry without a list")
+  {
+    registry.ApplyPage(page, { 0, 9 }, now);
+    CHECK(UsableCount() == 1);
+    CHECK(registry.Revision() == StoreRevision{});
+  }
+  SUBCASE("of one that lists another server")
+  {
+    Add(Record("a", "10.0.0.1:1"), 3);
+    registry.ApplyPage(page, { 0, 9 }, now);
+    CHECK(UsableCount() == 2);
+    CHECK(registry.Revision() == StoreRevision{ 0, 3 });
+    SUBCASE("until the whole list is there")
+    {
+      registry.Replace({ { 0, 9 }, page }, now);
+      CHECK(UsableCount() == 1);
+      CHECK(registry.Revision() == StoreRevision{ 0, 9 });
+    }
+  }
+  SUBCASE("but not of one of another era")
+  {
+    Add(Record("a", "10.0.0.1:1"), 3);
+    registry.ApplyPage(page, { 1, 9 }, now);
+    CHECK(UsableCount() == 1);
+  }
+}
+
 TEST_CASE_FIXTURE(RegistryFixture,
                   "[BackendRegistry] peers learn of an entry that is no longer "
                   "readable")
