Destroy the tasks of a gateway before what they refer to

What operators saw: a gateway that was stopped with requests under way ended with code 139 now and then, a process that ends by itself.

Cause: tasks that still wait as the loop stops were destroyed with the loop, after RequestHandler, CrashService and the state, from whose sets they erase themselves (OpenAttempt, HeldRequests::Place, guards of the crash detector, ByteReservation).

The loop gives up its tasks as soon as nothing runs on it any more; one call in one place, whatever a task owns.

--- a/servers/gateway/gateway_process.cpp
+++ b/servers/gateway/gateway_process.cpp
@@ -217,6 +217,8 @@
                    "stop",
                    { { "drained", isDrained ? 1U : 0U },
                      { "left", clientListener_.BusyCount() } });
+  // Tasks refer to members that are destroyed before the loop.
+  loop_.DestroyTasks();
   return hasFailed_ ? 1 : 0;
 }
 
--- a/servers/gateway/gateway_process.h
+++ b/servers/gateway/gateway_process.h
@@ -2,6 +2,7 @@
 
 #include "core/gateway/gateway_settings.h"
 #include "drivers/edge/edge_listener.h"
+#include "drivers/event_loop.h"
 #include "servers/gateway/crash_service.h"
 #include "servers/gateway/gateway_state.h"
 #include "servers/gateway/knowledge_service.h"
@@ -14,7 +15,6 @@
 #include "servers/gateway/store_follower.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -75,7 +75,7 @@
   /** Keeps the lag of the event loop for the metrics, and logs a large one. */
   void NoteLoopLag();
 
-  boost::asio::io_context loop_{ 1 };
+  EventLoop loop_{ 1 };
   GatewayState state_;
   PlatformState platformState_;
   PeerExchange peers_;
