--- /dev/null
+++ b/tests/gateway/test_foreign_text.cpp
@@ -0,0 +1,101 @@
+#include "platform/configuration_decoder.h"
+#include "platform/store_calls.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <doctest/doctest.h>
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace gypsum::tests {
+
+namespace {
+
+/** Texts that would end a line, a header or a message of peers. */
+const std::vector<std::string> kNoTexts{
+  "a\r\nInjected: 1", "a\nb",         std::string("a\0b", 3),   "\x7F",
+  "\xFF\xFE",         "\xED\xA0\x80", std::string(100'000, 'a')
+};
+
+std::string EntryWith(std::string_view aField, const std::string& aText)
+{
+  boost::json::object entry{
+    { "service", "m" },   { "address", "10.0.0.9:8080" },
+    { "zone", "z" },      { "version", "v1" },
+    { "slots", 64 },      { "state", "ready" },
+    { "seq", 4 },         { "born", 17 },
+    { "cold-left-ms", 0 }
+  };
+  entry[aField] = aText;
+  return boost::json::serialize(entry);
+}
+
+bool IsUsable(std::string_view aId, const std::string& aEntry)
+{
+  return std::holds_alternative<BackendEntry>(DecodeBackend(aId, aEntry));
+}
+
+} // namespace
+
+TEST_CASE("[ForeignText] an entry whose id a header can't hold names no server")
+{
+  const std::string entry = EntryWith("zone", "z");
+  for (const char* const id :
+       { "i-1", "a00%25", "a02&b=1", "a06 x", "\xC3\xA9" }) {
+    CAPTURE(id);
+    CHECK(IsUsable(id, entry));
+  }
+  for (const std::string& id : kNoTexts) {
+    CAPTURE(id.substr(0, 20));
+    CHECK_FALSE(IsUsable(id, entry));
+  }
+  for (const char* const id : { "", " ", " a", "a " }) {
+    CAPTURE(id);
+    CHECK_FALSE(IsUsable(id, entry));
+  }
+}
+
+TEST_CASE("[ForeignText] an entry with a field that is no text names no server")
+{
+  for (const char* const field : { "service", "zone", "version", "state" }) {
+    CAPTURE(field);
+    for (const std::string& text : kNoTexts) {
+      const auto decoded = DecodeBackend("i-1", EntryWith(field, text));
+      REQUIRE(std::holds_alternative<DecodeFault>(decoded));
+      CHECK(std::get<DecodeFault>(decoded).text.size() < 1'000);
+    }
+  }
+}
+
+TEST_CASE("[ForeignText] an evacuated zone whose name is no text is left out")
+{
+  const auto decoded = DecodeStoreResponse(
+    R"({"items":[{"key":"op/evacuate/","value":"","revision":1},
+ {"key":"op/evacuate/a\nb","value":"","revision":2},
+ {"key":"op/evacuate/z","value":"","revision":3}],"store-revision":9})",
+    1);
+  const auto& response = std::get<StoreResponse>(decoded);
+  REQUIRE(response.zones.size() == 1);
+  CHECK(response.zones.front().zone == "z");
+  CHECK(response.faults.size() == 2);
+}
+
+TEST_CASE("[ForeignText] a configuration with a customer whose name a header "
+          "can't hold is rejected")
+{
+  const auto decode = [](const std::string& aName) {
+    return DecodeConfiguration(boost::json::serialize(boost::json::object{
+      { "version", 7 },
+      { "tenants", { { { "name", aName }, { "api-keys", { "k" } } } } } }));
+  };
+  CHECK(std::holds_alternative<ServedConfiguration>(decode("caf\xC3\xA9 one")));
+  for (const std::string& name : kNoTexts) {
+    CAPTURE(name.substr(0, 20));
+    CHECK(std::holds_alternative<DecodeFault>(decode(name)));
+  }
+}
+
+} // namespace gypsum::tests
