Lose one odd handle or key, not all of its response

A handle with a comma or a line end went into the header Inputs as it was, where it is several handles or another header. One that is no UTF-8 made the whole response of a stage server unreadable, with the pieces of all requests in the call; a key of the store that is no UTF-8 did the same to its page, and so to the list of servers.

A handle that a list in a header can't hold is an error of its piece. Responses of the store and of stage servers are read with any bytes in their strings; what is used of them is checked one by one.

--- a/tests/gateway/test_foreign_text.cpp
+++ b/tests/gateway/test_foreign_text.cpp
@@ -1,4 +1,5 @@
 #include "platform/configuration_decoder.h"
+#include "platform/piece_calls.h"
 #include "platform/store_calls.h"
 
 #include <boost/json/object.hpp>
@@ -83,6 +84,24 @@
   CHECK(response.faults.size() == 2);
 }
 
+TEST_CASE("[ForeignText] a key that is no UTF-8 leaves the other entries of "
+          "its page readable")
+{
+  // "e30=" is {}.
+  const auto decoded = DecodeStoreResponse(
+    "{\"items\":[{\"key\":\"servers/a\xFF\",\"value\":\"e30=\","
+    "\"revision\":1},{\"key\":\"servers/b\",\"revision\":2,"
+    "\"removed\":true},{\"key\":\"servers/c\xED\xA0\x80\",\"revision\":3,"
+    "\"value\":\"e30=\"}],\"more-pages\":true,\"store-revision\":9}",
+    1);
+  REQUIRE(std::holds_alternative<StoreResponse>(decoded));
+  const auto& response = std::get<StoreResponse>(decoded);
+  CHECK(response.backends.size() == 3);
+  CHECK(response.faults.size() == 2);
+  CHECK(StoreListTarget(StorePart::Backends, response.page.lastKey)
+          .ends_with("after=servers/c%ED%A0%80"));
+}
+
 TEST_CASE("[ForeignText] a configuration with a customer whose name a header "
           "can't hold is rejected")
 {
@@ -98,4 +117,32 @@
   }
 }
 
+TEST_CASE("[ForeignText] a handle that a list in a header can't hold is an "
+          "error of its piece alone")
+{
+  const auto failureOf = [](const std::string& aHandle) {
+    const boost::json::object result{ { "handle", aHandle } };
+    const boost::json::object good{ { "handle", "10.0.0.1:1/a" } };
+    const auto results =
+      DecodePieceResults(boost::json::serialize(boost::json::object{
+                           { "items", { result, good } } }),
+                         2);
+    REQUIRE(results);
+    CHECK(results->back().handle == "10.0.0.1:1/a");
+    CHECK(results->back().failure == PieceFailure::None);
+    CHECK(results->front().handle.empty() !=
+          (results->front().failure == PieceFailure::None));
+    return results->front().failure;
+  };
+  CHECK(failureOf("10.0.0.1:1/a%25") == PieceFailure::None);
+  for (const std::string& handle : kNoTexts) {
+    CAPTURE(handle.substr(0, 20));
+    CHECK(failureOf(handle) == PieceFailure::Error);
+  }
+  for (const char* const handle : { "", "10.0.0.1:1/a,10.0.0.2:1/b", " a" }) {
+    CAPTURE(handle);
+    CHECK(failureOf(handle) == PieceFailure::Error);
+  }
+}
+
 } // namespace gypsum::tests
