--- a/tests/gateway/test_foreign_text.cpp
+++ b/tests/gateway/test_foreign_text.cpp
@@ -1,3 +1,4 @@
+#include "platform/client_request.h"
 #include "platform/configuration_decoder.h"
 #include "platform/piece_calls.h"
 #include "platform/store_calls.h"
@@ -145,4 +146,25 @@
   }
 }
 
+TEST_CASE("[ForeignText] ids of a client that no message can hold make its "
+          "request malformed")
+{
+  const auto malformedHeaderOf = [](std::string_view aName,
+                                    const std::string& aText) {
+    WireRequest request{ boost::beast::http::verb::post, "/a/x", 11 };
+    request.set("Attempt-Id", "9c41");
+    request.set(aName, aText);
+    return DecodeClientAttempt(request).malformedHeader;
+  };
+  for (const char* const name :
+       { "Attempt-Id", "Piece-Key", "Prompt-Prefix", "Resumes" }) {
+    CAPTURE(name);
+    CHECK(malformedHeaderOf(name, "5c1e07a2").empty());
+    CHECK(malformedHeaderOf(name, "a=b;c/+d~").empty());
+    CHECK(malformedHeaderOf(name, "9c\xFF\xFE") == name);
+    CHECK(malformedHeaderOf(name, "9c\xC3\xA9") == name);
+    CHECK(malformedHeaderOf(name, "9c\t41") == name);
+  }
+}
+
 } // namespace gypsum::tests
