List the store when its changes are too large for one response

A watch whose response was longer than a gateway reads (16 MB, which 20 values of the largest size are) failed, and asked for the same changes again until the store had dropped its history: no change of servers or of the configuration arrived meanwhile.

--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -155,7 +155,10 @@
   const BodyPart body =
     co_await exchange.ReadRest(deadline + kResponseTimeout, kMaxResponseBytes);
   if (body.state != ExchangeState::Ok) {
-    platformState_.OnStoreCallFailed("broken-answer");
+    const bool isTooLarge = exchange.IsEndless();
+    reply.kind = isTooLarge ? Reply::Kind::TooLarge : Reply::Kind::Failed;
+    platformState_.OnStoreCallFailed(isTooLarge ? "too-large"
+                                                : "broken-answer");
     co_return reply;
   }
   exchange.Finish(std::nullopt, true);
@@ -389,6 +392,10 @@
     }
     case Reply::Kind::HistoryUnavailable:
       co_return false;
+    case Reply::Kind::TooLarge:
+      // The same changes would come again; the pages of a list are shorter.
+      co_await Pause(Jittered(aRetryDelay));
+      co_return false;
     case Reply::Kind::Interrupted:
       co_await Pause(Jittered(kMinRetryDelay / 4));
       break;
--- a/servers/gateway/store_follower.h
+++ b/servers/gateway/store_follower.h
@@ -52,6 +52,8 @@
       Success,
       /** The store no longer holds the changes after the given revision. */
       HistoryUnavailable,
+      /** The response is longer than a gateway reads at once. */
+      TooLarge,
       /** The connection ended without a response. */
       Interrupted,
       Failed,
--- a/tests/cell/test_store_list.cpp
+++ b/tests/cell/test_store_list.cpp
@@ -223,4 +223,32 @@
   CheckServed();
 }
 
+TEST_CASE_FIXTURE(StoreListFixture,
+                  "[StoreList] changes that are too large for one response are "
+                  "listed")
+{
+  // More than a gateway reads at once.
+  constexpr int kLargeValues = 20;
+  constexpr std::size_t kLargeValue = 900'000;
+  REQUIRE(cell.Start());
+  cell.Run([&] {
+    for (int value = 0; value < kLargeValues; ++value) {
+      cell.Store().Put("servers/large" + std::to_string(value),
+                       std::string(kLargeValue, 'x'));
+    }
+    cell.Store().SetPageSize({});
+    cell.PlainServers().front()->SetVersion("v9");
+    cell.PlainServers().front()->Register();
+  });
+  for (const CellGateway& gateway : cell.Gateways()) {
+    CHECK(WaitUntil(
+      [&] {
+        return cell.Get(gateway, "/dump").find("software v9") !=
+               std::string::npos;
+      },
+      kRecoveryTime));
+  }
+  CheckServed();
+}
+
 } // namespace gypsum::tests
