Let the soak write foreign keys, with short pages and long ones

Another writer puts up to 600 odd keys under servers/ and op/ at random moments, before and beside restarts of one gateway and of all, and removes them again; pages of the store then hold 1 to 9 items, or 500. Older seeds keep their schedule.

--- a/tests/cell/soak.cpp
+++ b/tests/cell/soak.cpp
@@ -74,6 +74,7 @@
   , endRandom_(aSeed)
   , staleRandom_(aSeed)
   , zoneRandom_(aSeed)
+  , foreignRandom_(aSeed)
   , cell_(aSize, aSeed)
   , successions_(cell_, aSeed)
   , faultDuration_(aFaultDuration)
@@ -639,6 +640,47 @@
   Disturb(gateway, way, false);
 }
 
+void Soak::InjectForeignKeys()
+{
+  constexpr std::array<std::string_view, 10> kNames{
+    "a00%25",    "a02&b=1", "a03+", "a05#x", "a06 x",
+    "a\r\nb: 1", "%2e%2f",  "\xFF", "~",     ""
+  };
+  constexpr std::array<std::string_view, 2> kPrefixes{ "servers/", "op/" };
+  constexpr std::size_t kMaxKeys = 600;
+  switch (foreignRandom_() % 4) {
+    case 0: {
+      RecordFault("foreign-keys");
+      const std::string prefix(kPrefixes[foreignRandom_() % kPrefixes.size()]);
+      const std::size_t count = 1 + foreignRandom_() % kMaxKeys;
+      cell_.Run([&] {
+        for (std::size_t key = 0; key < count; ++key) {
+          const auto name = kNames[foreignRandom_() % kNames.size()];
+          foreignKeys_.push_back(prefix + std::string(name) +
+                                 std::to_string(foreignRandom_() % kMaxKeys));
+          cell_.Store().Put(foreignKeys_.back(),
+                            foreignRandom_() % 2 == 0 ? "{}" : "no entry");
+        }
+        // From one key to as many as the operators' store has in a page.
+        cell_.Store().SetPageSize({ .items = foreignRandom_() % 2 == 0
+                                               ? 1 + foreignRandom_() % 9
+                                               : StorePageSize{}.items });
+      });
+      break;
+    }
+    case 1:
+      cell_.Run([&] {
+        std::ranges::for_each(foreignKeys_, [&](const std::string& aKey) {
+          cell_.Store().Remove(aKey);
+        });
+      });
+      foreignKeys_.clear();
+      break;
+    default:
+      break;
+  }
+}
+
 void Soak::InjectStaleKnowledge()
 {
   switch (staleRandom_() % 4) {
@@ -739,6 +781,9 @@
     InjectHardship();
     InjectIncident();
     InjectRest();
+    if (hasForeignKeys_) {
+      InjectForeignKeys();
+    }
     KillAllGateways();
     if (hasStaleKnowledge_) {
       InjectStaleKnowledge();
--- a/tests/cell/soak.h
+++ b/tests/cell/soak.h
@@ -57,12 +57,13 @@
        CellSize aSize,
        std::chrono::seconds aFaultDuration);
 
-  /** Leaves out stale knowledge and zones, as older seeds were found without
-   * them. */
+  /** Leaves out stale knowledge, zones and foreign keys, as older seeds were
+   * found without them. */
   void KeepOldSchedule()
   {
     hasStaleKnowledge_ = false;
     hasZones_ = false;
+    hasForeignKeys_ = false;
   }
   /** Also starts gateways while their predecessors are still there. */
   void AddSuccessions() { hasSuccessions_ = true; }
@@ -70,6 +71,8 @@
   Cell& GetCell() { return cell_; }
 
 private:
+  /** Another writer adds keys to the store, or removes its own. */
+  void InjectForeignKeys();
   void ClientLoop(std::uint64_t aSeed);
   SoakRequest DrawRequest(std::mt19937_64& aRandom);
   /** A request that takes up a broken stream, at any gateway. */
@@ -143,8 +146,10 @@
   std::mt19937_64 endRandom_;
   std::mt19937_64 staleRandom_;
   std::mt19937_64 zoneRandom_;
+  std::mt19937_64 foreignRandom_;
   bool hasStaleKnowledge_ = true;
   bool hasZones_ = true;
+  bool hasForeignKeys_ = true;
   bool hasSuccessions_ = false;
   Cell cell_;
   GatewaySuccessions successions_;
@@ -191,6 +196,7 @@
   std::map<std::string, Instant> addedAt_;
   std::string newestRoute_;
   Instant lastStoreFault_{};
+  std::vector<std::string> foreignKeys_;
   SoakReport report_;
 };
 
