Read a settings file again that was cut before its end

A gateway that started while its settings file was being written took a file that was cut after the last required setting for a whole one: defaults for all behind it, and for the port of the peers until the next start.

Files that do not tell of an end are read as they were.

Measured: "a file that tells of its end is not used if it is cut before it" cuts at each byte; the settings of the sample alone were accepted at cuts behind the last required one.

--- a/core/gateway/gateway_settings.cpp
+++ b/core/gateway/gateway_settings.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> kSections{ "gateway",
-                                                     "network",
-                                                     "repeats",
-                                                     "log" };
+constexpr std::array<std::string_view, 6> kSections{ "file",    "gateway",
+                                                     "network", "repeats",
+                                                     "log",     "end" };
 
 /** Builds gateway settings out of the sections of one INI text. */
 class GatewaySettingsBuilder
@@ -31,7 +30,7 @@
       if (std::ranges::find(kSections, section.name) == kSections.end()) {
         faults_.push_back({ section.line,
                             section.name,
-                            "gateway, network, repeats or log",
+                            "file, gateway, network, repeats, log or end",
                             "[" + section.name + "]" });
       }
     }
@@ -39,6 +38,7 @@
     ReadNetwork(SectionOf("network"));
     ReadRetries(SectionOf("repeats"));
     ReadLog(SectionOf("log"));
+    CheckEnd();
     return std::move(settings_);
   }
 
@@ -108,6 +108,21 @@
     reader.Finish();
   }
 
+  /** Reports a file that was cut before the end that its begin tells of. */
+  void CheckEnd()
+  {
+    const IniSection file = SectionOf("file");
+    const IniSection end = SectionOf("end");
+    SectionReader fileReader(file, faults_);
+    SectionReader endReader(end, faults_);
+    const bool isComplete = endReader.Flag("complete", false);
+    if (fileReader.Flag("has_end", false) && !isComplete) {
+      endReader.Report("complete", "true at the end of the file", "none");
+    }
+    fileReader.Finish();
+    endReader.Finish();
+  }
+
   static std::string Address(SectionReader& aReader,
                              std::string_view aKey,
                              bool aIsRequired)
--- a/tests/gateway/test_event_log.cpp
+++ b/tests/gateway/test_event_log.cpp
@@ -140,4 +140,17 @@
   CHECK(std::holds_alternative<Faults>(ParseGatewaySettings("")));
 }
 
+TEST_CASE("[GatewaySettings] a file that tells of its end is not used if it is "
+          "cut before it")
+{
+  const std::string text = "[file]\nhas_end = true\n" + std::string(kSettings) +
+                           "[end]\ncomplete = true";
+  REQUIRE(std::holds_alternative<GatewaySettings>(ParseGatewaySettings(text)));
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    CAPTURE(text.substr(0, cut));
+    CHECK(std::holds_alternative<Faults>(
+      ParseGatewaySettings(text.substr(0, cut))));
+  }
+}
+
 } // namespace gypsum::tests
