--- a/tests/gateway/test_event_log.cpp
+++ b/tests/gateway/test_event_log.cpp
@@ -143,6 +143,14 @@
 TEST_CASE("[GatewaySettings] a file that tells of its end is not used if it is "
           "cut before it")
 {
+  std::size_t unnoticed = 0;
+  for (std::size_t cut = 0; cut < kSettings.size(); ++cut) {
+    unnoticed += std::holds_alternative<GatewaySettings>(
+                   ParseGatewaySettings(kSettings.substr(0, cut)))
+                   ? 1
+                   : 0;
+  }
+  CHECK(unnoticed > 0);
   const std::string text = "[file]\nhas_end = true\n" + std::string(kSettings) +
                            "[end]\ncomplete = true";
   REQUIRE(std::holds_alternative<GatewaySettings>(ParseGatewaySettings(text)));
--- a/tests/gateway/test_foreign_text.cpp
+++ b/tests/gateway/test_foreign_text.cpp
@@ -103,6 +103,28 @@
           .ends_with("after=servers/c%ED%A0%80"));
 }
 
+TEST_CASE("[ForeignText] half of a surrogate pair in a key leaves the other "
+          "entries of its page readable")
+{
+  const auto lastKeyOf = [](const std::string& aKey) {
+    const auto decoded = DecodeStoreResponse(
+      R"({"items":[{"key":"servers/a","value":"\\ud800","revision":1},)"
+      R"({"key":")" +
+        aKey + R"(","value":"e30=","revision":2}],"store-revision":9})",
+      1);
+    REQUIRE(std::holds_alternative<StoreResponse>(decoded));
+    CHECK(std::get<StoreResponse>(decoded).backends.size() == 2);
+    return std::get<StoreResponse>(decoded).page.lastKey;
+  };
+  CHECK(lastKeyOf(R"(servers/b)") == "servers/b");
+  CHECK(lastKeyOf(R"(servers/\ud83d\ude00)") == "servers/\xF0\x9F\x98\x80");
+  // A byte that is no UTF-8, as some writers escape it.
+  CHECK(lastKeyOf(R"(servers/\udcff)") == "servers/\xFF");
+  CHECK(lastKeyOf(R"(servers/\ud800b)") == "servers/\xED\xA0\x80"
+                                           "b");
+  CHECK(lastKeyOf(R"(servers/\\ud800)") == "servers/\\ud800");
+}
+
 TEST_CASE("[ForeignText] a configuration with a customer whose name a header "
           "can't hold is rejected")
 {
