Forget a failed list as soon as its part is read

A list on request is not repeated, so that the ready address and gypsum_store_list_failing named it until the registry changed. Any confirmation of the part by the store ends it now.

Measured: the 6 cases of the cell's [StoreList] pass.

--- a/servers/gateway/platform_state.cpp
+++ b/servers/gateway/platform_state.cpp
@@ -231,14 +231,8 @@
   state_.versions.Observe(state_.registry.Versions(), Now().steady);
 }
 
-void PlatformState::OnListEnded(StorePart aPart,
-                                const StoreList& aList,
-                                bool aIsListed)
+void PlatformState::OnListFailed(StorePart aPart, const StoreList& aList)
 {
-  if (aIsListed) {
-    ForgetFailedList(aPart);
-    return;
-  }
   failedLists_.insert_or_assign(aPart, aList);
   state_.metrics.Set("store_list_failing", "part", NameOf(aPart), 1.0);
   // Of a list that ends at its first page `store-away` tells.
--- a/servers/gateway/platform_state.h
+++ b/servers/gateway/platform_state.h
@@ -68,9 +68,10 @@
   /** A backend server has said itself that it leaves, to this gateway or to the
    * peer that `aSource` names; true if that is new. */
   bool OnLeaving(const LeavingBackend& aLeaving, std::string_view aSource);
-  /** A list of the store has ended, or was broken off after the pages that it
-   * tells of. */
-  void OnListEnded(StorePart aPart, const StoreList& aList, bool aIsListed);
+  /** A list of the store was broken off after the pages that it tells of. */
+  void OnListFailed(StorePart aPart, const StoreList& aList);
+  /** A part is known again, whatever its last list came to. */
+  void ForgetFailedList(StorePart aPart);
   /** The parts whose last list was broken off, and where, if nothing newer is
    * known of them since; a line each. */
   std::string FailedLists() const;
@@ -82,7 +83,6 @@
   void Expire();
 
 private:
-  void ForgetFailedList(StorePart aPart);
   void OnZoneChanges(std::span<const ZoneChange> aChanges,
                      std::string_view aSource);
   /** Logs servers that have become cold by their entries. */
--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -264,9 +264,11 @@
                                           StoreRevision& aRevision)
 {
   StoreList list;
-  const bool isListed = co_await ReadPages(aPart, list, aRevision);
-  platformState_.OnListEnded(aPart, list, isListed);
-  co_return isListed;
+  if (co_await ReadPages(aPart, list, aRevision)) {
+    co_return true;
+  }
+  platformState_.OnListFailed(aPart, list);
+  co_return false;
 }
 
 asio::awaitable<bool> StoreFollower::ReadPages(StorePart aPart,
@@ -341,6 +343,7 @@
 void StoreFollower::OnRead(StorePart aPart, Instant aUpTo)
 {
   state_.Knowledge(aPart).OnRead(aUpTo);
+  platformState_.ForgetFailedList(aPart);
   if (aPart == StorePart::Configuration) {
     state_.evacuationKnowledge.OnRead(aUpTo);
   }
