Take in pages of servers only

The list of the configuration applied an empty page of servers for each of its own; without effect, but hard to read. The 6 cases of the cell's [StoreList] pass.

--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -317,7 +317,8 @@
       aList.OnOutOfMemory();
     }
     // Servers of a list that is never whole are better than none.
-    if (aList.GetState() != StoreList::State::Complete) {
+    const bool isWhole = aList.GetState() == StoreList::State::Complete;
+    if (aPart == StorePart::Backends && !isWhole) {
       platformState_.ApplyBackendPage(reply.response.backends,
                                       registry.revision);
     }
