--- a/servers/gateway/store_follower.cpp
+++ b/servers/gateway/store_follower.cpp
@@ -65,7 +65,7 @@
     }
   }
   for (const ZoneChange& change : aResponse.zones) {
-    bytes += sizeof(change.zone) + change.zone.size();
+    bytes += sizeof(change) + change.zone.size();
   }
   return bytes;
 }
--- a/tests/cell/test_store_list.cpp
+++ b/tests/cell/test_store_list.cpp
@@ -25,7 +25,7 @@
 /** The operators' bound for the return of service. */
 constexpr seconds kRecoveryTime{ 12 };
 /** Memory of the operators' small VM. */
-constexpr std::uint64_t kVmMemoryKb = 260 * 1'000;
+constexpr std::uint64_t kVmMemoryKb = 260'000;
 constexpr int kGateways = 3;
 /** More than one page of the store holds. */
 constexpr int kManyKeys = 1'200;
@@ -140,6 +140,7 @@
 {
   cell.Run([&] { cell.Store().SetPageSize({}); });
   std::vector<std::string> names;
+  names.reserve(kManyKeys);
   for (int index = 0; index < kManyKeys; ++index) {
     names.push_back("%25" + std::to_string(kFirstNumber + index));
   }
